--- /dev/null
+++ b/cmd/lagooncourse/cluster_test.go
@@ -0,0 +1,279 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/base/httpd"
+	"lagooncourse/internal/cell/config"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/plat/fakes"
+	"lagooncourse/internal/tool/caller"
+	"lagooncourse/internal/tool/cmds"
+)
+
+// roleEnv makes the test binary act as the program, so that every role runs as
+// a process of its own, built with the same flags as the tests.
+const roleEnv = "LAGOONCOURSE_TEST_ROLE"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(roleEnv) != "" {
+		os.Exit(cmds.Main(os.Args[1:], os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// pollBound is how long a process test waits for something that has to happen.
+const pollBound = 60 * time.Second
+
+// cluster is a cell of separate processes on the loopback address.
+type cluster struct {
+	t     *testing.T
+	dir   string
+	log   string // base URLs of the stand-ins
+	fleet string
+	execs string
+	hosts []*hostProc
+	procs []*exec.Cmd
+}
+
+// hostProc is one entry host's process.
+type hostProc struct {
+	id, api, peer, path string
+	cmd                 *exec.Cmd
+}
+
+// clusterConfig describes a cluster.
+type clusterConfig struct {
+	hosts     int
+	workers   int
+	executors int
+	workMs    int
+	retention string
+}
+
+var azs = []string{"a", "b", "c"}
+
+// freeAddr picks a free loopback port. Another process may take it before it
+// is used; the start of the role then fails the test with a clear message.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+// startCluster starts all roles and waits until every entry host is ready.
+func startCluster(t *testing.T, cfg clusterConfig) *cluster {
+	t.Helper()
+	c := &cluster{t: t, dir: t.TempDir()}
+	t.Cleanup(c.stop)
+	logAddr, fleetAddr, execAddr := freeAddr(t), freeAddr(t), freeAddr(t)
+	c.log, c.fleet, c.execs = "http://"+logAddr, "http://"+fleetAddr, "http://"+execAddr
+	if cfg.retention == "" {
+		cfg.retention = "0s"
+	}
+	c.standin("log", fmt.Sprintf("[log]\nlisten = %s\nretention = %s\n", logAddr, cfg.retention))
+	c.standin("worker", fmt.Sprintf("[workers]\nlisten = %s\nazs = a, b, c\ncount = %d\nrackSize = 4\n", fleetAddr, cfg.workers))
+	c.standin("executor", fmt.Sprintf(
+		"[executors]\nlisten = %s\nservice = triage\nazs = a, b, c\ncount = %d\nwork = %dms\n", execAddr, cfg.executors, cfg.workMs))
+	var peers []string
+	for i := range cfg.hosts {
+		h := &hostProc{id: fmt.Sprintf("e%d", i), api: freeAddr(t), peer: freeAddr(t)}
+		c.hosts = append(c.hosts, h)
+		peers = append(peers, h.peer)
+	}
+	for i, h := range c.hosts {
+		c.writeHost(h, azs[i%len(azs)], peers)
+		c.startHost(h)
+	}
+	c.until("every entry host is ready", c.ready)
+	return c
+}
+
+func (c *cluster) writeHost(h *hostProc, az string, peers []string) {
+	h.path = c.write(h.id+".ini", fmt.Sprintf(`[host]
+id = %s
+az = %s
+listen = %s
+peer = %s
+peers = %s
+
+[platform]
+log = %s
+logTimeout = 1s
+hostLists = %s, %s
+
+[timing]
+renew = 500ms
+lease = 2s
+margin = 500ms
+`, h.id, az, h.api, h.peer, strings.Join(peers, ", "), c.log, c.fleet, c.execs))
+}
+
+func (c *cluster) write(name, text string) string {
+	path := filepath.Join(c.dir, name)
+	assert.NilError(c.t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func (c *cluster) standin(kind, settings string) {
+	c.run("standin", kind, "--config", c.write(kind+".ini", settings))
+}
+
+func (c *cluster) startHost(h *hostProc) { h.cmd = c.run("entry", "--config", h.path) }
+
+// run starts one role as a process. Its output goes to the test's directory
+// and is shown if the test fails.
+func (c *cluster) run(args ...string) *exec.Cmd {
+	out, err := os.CreateTemp(c.dir, strings.Join(args[:2], "-")+"-*.out")
+	assert.NilError(c.t, err)
+	cmd := exec.Command(os.Args[0], args...)
+	cmd.Env = append(os.Environ(), roleEnv+"=1")
+	cmd.Stdout, cmd.Stderr = out, out
+	assert.NilError(c.t, cmd.Start())
+	c.procs = append(c.procs, cmd)
+	return cmd
+}
+
+// stop ends every process that the test started and shows the output of a
+// failed test.
+func (c *cluster) stop() {
+	for _, p := range c.procs {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+	}
+	if !c.t.Failed() {
+		return
+	}
+	outs, _ := filepath.Glob(filepath.Join(c.dir, "*.out"))
+	for _, path := range outs {
+		data, _ := os.ReadFile(path)
+		c.t.Logf("%s:\n%s", filepath.Base(path), tail(data))
+	}
+}
+
+const tailBytes = 3000
+
+func tail(data []byte) []byte { return data[max(0, len(data)-tailBytes):] }
+
+// until polls a condition up to pollBound.
+func (c *cluster) until(what string, ok func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(pollBound)
+	for !ok() {
+		if time.Now().After(deadline) {
+			c.t.Fatalf("not so within %s: %s", pollBound, what)
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+func (c *cluster) ready() bool {
+	for _, h := range c.hosts {
+		if !h.ready() {
+			return false
+		}
+	}
+	return true
+}
+
+func (h *hostProc) ready() bool {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := httpd.Exchange[struct{}](ctx, http.MethodGet, "http://"+h.api+"/readyz", nil)
+	return err == nil
+}
+
+// client returns a client that uses all entry hosts in turn.
+func (c *cluster) client(key string) *caller.Client {
+	var api []string
+	for _, h := range c.hosts {
+		api = append(api, "http://"+h.api)
+	}
+	return caller.New(caller.Config{API: api, Key: key, Tries: 200})
+}
+
+// team creates a plan with a key for everything and returns the key.
+func (c *cluster) team(name string, limit jobs.Size) string {
+	c.t.Helper()
+	ctx := context.Background()
+	op := c.client("")
+	for _, e := range []config.Edit{
+		{Kind: config.SetPlan, Name: name, Share: 1, Limit: limit},
+		{Kind: config.AddAllow, Name: name, Items: []string{"queue:*", "service:*", "az:*"}},
+		{Kind: config.GiveKey, Name: name + "-key", Team: name, Secret: config.HashSecret("secret")},
+	} {
+		_, err := op.Edit(ctx, e)
+		assert.NilError(c.t, err)
+	}
+	key := name + "-key.secret"
+	c.until("every entry host knows the key", func() bool {
+		for _, h := range c.hosts {
+			cl := caller.New(caller.Config{API: []string{"http://" + h.api}, Key: key})
+			if _, err := cl.List(ctx, jobs.Waiting); err != nil {
+				return false
+			}
+		}
+		return true
+	})
+	return key
+}
+
+// set throws a switch of a stand-in.
+func (c *cluster) set(url string, sw any) {
+	c.t.Helper()
+	_, err := httpd.Exchange[json.RawMessage](context.Background(), http.MethodPost, url+"/switch", sw)
+	assert.NilError(c.t, err)
+}
+
+// owned counts the groups that the hosts with the given indexes own.
+func (c *cluster) owned(indexes ...int) int {
+	n := 0
+	for _, i := range indexes {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		d, err := caller.New(caller.Config{API: []string{"http://" + c.hosts[i].api}}).Dump(ctx)
+		cancel()
+		if err != nil {
+			continue
+		}
+		for _, g := range d.Groups {
+			if g.Epoch > 0 {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func (c *cluster) runs() []fakes.Run {
+	c.t.Helper()
+	runs, err := httpd.Exchange[[]fakes.Run](context.Background(), http.MethodGet, c.fleet+"/runs", nil)
+	assert.NilError(c.t, err)
+	return runs
+}
+
+func (c *cluster) executions() []fakes.Execution {
+	c.t.Helper()
+	list, err := httpd.Exchange[[]fakes.Execution](context.Background(), http.MethodGet, c.execs+"/executions", nil)
+	assert.NilError(c.t, err)
+	return list
+}
+
+func (h *hostProc) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	assert.NilError(t, h.cmd.Process.Signal(s))
+}
--- /dev/null
+++ b/internal/base/logs/logs.go
@@ -0,0 +1,111 @@
+// Package logs writes the structured log of a process.
+//
+// A line is a short sentence with a fixed prefix for the part that wrote it,
+// followed by key=value pairs:
+//
+//	12:03:07.114 INFO  owner: claimed group group=az1-0 epoch=4
+//
+// # Usage
+//
+//	log := logs.New(os.Stderr, "info")
+//	log.WithName("owner").Info("claimed group", "group", g)
+package logs
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/go-logr/logr"
+	"github.com/zeromicro/go-zero/core/logx"
+)
+
+// Levels lists the names that New accepts, most verbose first.
+var Levels = []string{"debug", "info", "error"}
+
+// New returns a logger that writes lines at or above the level to w. The level
+// is one of Levels; another name means "info". The base library's own log is
+// switched off, since its lines carry no part prefix.
+func New(w io.Writer, level string) logr.Logger {
+	logx.Disable()
+	min := slog.LevelInfo
+	switch level {
+	case "debug":
+		min = slog.LevelDebug
+	case "error":
+		min = slog.LevelError
+	}
+	return logr.FromSlogHandler(&handler{w: w, mu: &sync.Mutex{}, min: min})
+}
+
+// Discard returns a logger that drops every line.
+func Discard() logr.Logger { return logr.Discard() }
+
+// handler formats one line a record. Values set with WithAttrs are formatted
+// once.
+type handler struct {
+	w     io.Writer
+	mu    *sync.Mutex
+	min   slog.Level
+	attrs string
+	name  string
+}
+
+var _ slog.Handler = (*handler)(nil)
+
+func (h *handler) Enabled(_ context.Context, l slog.Level) bool { return l >= h.min }
+
+func (h *handler) Handle(_ context.Context, r slog.Record) error {
+	var b strings.Builder
+	b.WriteString(r.Time.Format("15:04:05.000 "))
+	fmt.Fprintf(&b, "%-5s ", r.Level)
+	name := h.name
+	var rest strings.Builder
+	r.Attrs(func(a slog.Attr) bool {
+		if a.Key == "logger" {
+			name = a.Value.String()
+			return true
+		}
+		writeAttr(&rest, a)
+		return true
+	})
+	if name != "" {
+		b.WriteString(name + ": ")
+	}
+	b.WriteString(r.Message)
+	b.WriteString(h.attrs)
+	b.WriteString(rest.String())
+	b.WriteByte('\n')
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_, err := io.WriteString(h.w, b.String())
+	return err
+}
+
+func (h *handler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	c := *h
+	var b strings.Builder
+	for _, a := range attrs {
+		if a.Key == "logger" {
+			c.name = a.Value.String()
+			continue
+		}
+		writeAttr(&b, a)
+	}
+	c.attrs += b.String()
+	return &c
+}
+
+func (h *handler) WithGroup(string) slog.Handler { return h }
+
+func writeAttr(b *strings.Builder, a slog.Attr) {
+	v := a.Value.String()
+	if strings.ContainsAny(v, " =\"") {
+		v = strconv.Quote(v)
+	}
+	fmt.Fprintf(b, " %s=%s", a.Key, v)
+}
--- /dev/null
+++ b/internal/cell/config/edit.go
@@ -0,0 +1,190 @@
+package config
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/cell/jobs"
+)
+
+// Kind says what an edit does.
+type Kind string
+
+// The kinds of edit.
+const (
+	SetPlan     Kind = "setPlan"
+	DeletePlan  Kind = "deletePlan"
+	AddAllow    Kind = "addAllow"
+	RemoveAllow Kind = "removeAllow"
+	GiveKey     Kind = "giveKey"
+	WithdrawKey Kind = "withdrawKey"
+	AzOut       Kind = "azOut"
+	AzBack      Kind = "azBack"
+)
+
+// Edit is one operator's change of one object.
+type Edit struct {
+	ID   string  `json:"id"`   // repeats with the same id are one edit
+	Kind Kind    `json:"kind"` //
+	Name string  `json:"name"` // team, key id or availability zone
+	Base Version `json:"base"` // version of the object that the operator saw
+	By   string  `json:"by"`   // the operator, for conflicts and the log
+
+	Share  int64     `json:"share,omitempty"`  // for SetPlan
+	Limit  jobs.Size `json:"limit,omitzero"`   // for SetPlan
+	Items  []string  `json:"items,omitempty"`  // for AddAllow and RemoveAllow
+	Team   string    `json:"team,omitempty"`   // for GiveKey
+	Secret string    `json:"secret,omitempty"` // for GiveKey: HashSecret of the key's secret
+}
+
+// Object returns the object that the edit changes, such as "plan/lab".
+func (e Edit) Object() string {
+	switch e.Kind {
+	case SetPlan, DeletePlan:
+		return "plan/" + e.Name
+	case AddAllow, RemoveAllow:
+		return "allow/" + e.Name
+	case GiveKey, WithdrawKey:
+		return "key/" + e.Name
+	}
+	return "az/" + e.Name
+}
+
+// Bounds of an edit.
+const (
+	MaxShare = 1_000_000
+	MaxItems = 1000
+)
+
+var itemKinds = []string{"queue", "service", "az"}
+
+// Check returns an error that names the first invalid field and its value.
+func (e Edit) Check() error {
+	if err := jobs.CheckName("id", e.ID); err != nil {
+		return err
+	}
+	if err := jobs.CheckName("name", e.Name); err != nil {
+		return err
+	}
+	if e.Base < 0 {
+		return fault.Field("base", e.Base, "must not be negative")
+	}
+	switch e.Kind {
+	case SetPlan:
+		return e.checkPlan()
+	case AddAllow, RemoveAllow:
+		return e.checkItems()
+	case GiveKey:
+		if len(e.Secret) != len(HashSecret("")) {
+			return fault.Field("secret", e.Secret, "must be the hash of the key's secret")
+		}
+		return jobs.CheckName("team", e.Team)
+	case DeletePlan, WithdrawKey, AzOut, AzBack:
+		return nil
+	}
+	return fault.Field("kind", e.Kind, "is not a known edit")
+}
+
+func (e Edit) checkPlan() error {
+	if e.Share < 1 || e.Share > MaxShare {
+		return fault.Field("share", e.Share, "must lie between 1 and %d", MaxShare)
+	}
+	for _, d := range []struct {
+		field string
+		v     int64
+	}{{"limit.cpuMillis", e.Limit.CPU}, {"limit.memoryMiB", e.Limit.Mem}, {"limit.accelerators", e.Limit.Accel}} {
+		if d.v < 0 || d.v > jobs.Unlimited {
+			return fault.Field(d.field, d.v, "must lie between 0 and %d", jobs.Unlimited)
+		}
+	}
+	return nil
+}
+
+func (e Edit) checkItems() error {
+	if len(e.Items) == 0 || len(e.Items) > MaxItems {
+		return fault.Field("items", len(e.Items), "must list 1 to %d items", MaxItems)
+	}
+	for _, item := range e.Items {
+		kind, name, ok := strings.Cut(item, ":")
+		if !ok || !slices.Contains(itemKinds, kind) {
+			return fault.Field("items", item, "must have the form KIND:NAME with a kind of %v", itemKinds)
+		}
+		if name == "*" {
+			continue
+		}
+		if err := jobs.CheckName("items", name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Record is one record of the stream: an edit, or a change of grants.
+type Record struct {
+	Edit   *Edit
+	Grants *Grants
+}
+
+// With returns the state after the record at the offset.
+func (s *State) With(offset int64, rec Record) *State {
+	n := *s
+	n.Offset = offset
+	switch {
+	case rec.Edit != nil:
+		n.applyEdit(offset, *rec.Edit)
+	case rec.Grants != nil:
+		n.applyGrants(*rec.Grants)
+	}
+	return &n
+}
+
+// applyEdit changes n, which is a fresh copy that shares its maps with others.
+func (n *State) applyEdit(offset int64, e Edit) {
+	if _, seen := n.Results[e.ID]; seen {
+		return
+	}
+	object := e.Object()
+	r := Result{Edit: e.ID, Offset: offset, Version: n.VersionOf(object)}
+	if e.Check() == nil && r.Version == e.Base {
+		r.Accepted, r.Version = true, Version(offset+1)
+		n.applyAccepted(e, r.Version)
+		n.Authors = put(n.Authors, object, e.By)
+	} else {
+		r.Winner = n.Authors[object]
+	}
+	n.remember(r)
+}
+
+func (n *State) applyAccepted(e Edit, v Version) {
+	switch e.Kind {
+	case SetPlan:
+		n.Plans = put(n.Plans, e.Name, Plan{Team: e.Name, Share: e.Share, Limit: e.Limit, Version: v})
+	case DeletePlan:
+		n.Plans = put(n.Plans, e.Name, Plan{Team: e.Name, Version: v, Deleted: true})
+	case AddAllow, RemoveAllow:
+		a := n.Allows[e.Name].WithItems(e.Items, e.Kind == RemoveAllow)
+		a.Team, a.Version = e.Name, v
+		n.Allows = put(n.Allows, e.Name, a)
+	case GiveKey:
+		n.Keys = put(n.Keys, e.Name, Key{ID: e.Name, Team: e.Team, Hash: e.Secret, Version: v})
+	case WithdrawKey:
+		k := n.Keys[e.Name]
+		k.ID, k.Withdrawn, k.Version = e.Name, true, v
+		n.Keys = put(n.Keys, e.Name, k)
+	case AzOut, AzBack:
+		n.Azs = put(n.Azs, e.Name, Az{Name: e.Name, Out: e.Kind == AzOut, Version: v})
+	}
+}
+
+func (n *State) remember(r Result) {
+	n.Results = maps.Clone(n.Results)
+	n.Results[r.Edit] = r
+	recent := append(append(make([]string, 0, len(n.Recent)+1), n.Recent...), r.Edit)
+	if len(recent) > maxResults {
+		delete(n.Results, recent[0])
+		recent = recent[1:]
+	}
+	n.Recent = recent
+}
--- /dev/null
+++ b/internal/cell/group/group.go
@@ -0,0 +1,357 @@
+// Package group is the durable state of one group: the jobs that it owns, the
+// intents and ends of their tasks, the record of calls that must run at most
+// once, and who owns the group.
+//
+// A group is a set of racks of one availability zone together with a stream of
+// the log and a share of the submitted jobs. At any time at most one entry
+// host, the group's owner, may add records to it. Ownership is itself a record:
+// a claim names the next epoch, and the first claim of an epoch by offset wins.
+// Every other batch carries its writer's epoch and a sequence number, and is
+// void unless it continues the present epoch without a gap. A paused owner that
+// wakes up, and an append that arrives after its sender has given up, thus
+// change nothing.
+//
+// The state is a pure function of the stream's records, so a successor needs
+// nothing but the log.
+//
+// # Usage
+//
+//	s := group.NewState("az1-0")
+//	s.Watch = queue // told of every change of a task
+//	s.Apply(offset, data)
+//	batch := group.Batch{Epoch: s.Epoch, Seq: s.Seq + 1, Records: records}
+package group
+
+import (
+	"sort"
+
+	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/cell/jobs"
+)
+
+// StreamOf returns the log stream of a group.
+func StreamOf(group string) string { return "group." + group }
+
+// Holder is the owner of a group during one epoch.
+type Holder struct {
+	Host string // id of the entry host; empty after a release
+	Addr string // where its peers reach it
+}
+
+// Batch is one record of the stream. With Claim set it opens the epoch Epoch.
+// Otherwise it belongs to that epoch, at place Seq counted from 1.
+type Batch struct {
+	Epoch   uint64
+	Seq     uint64
+	Claim   *Holder
+	Release bool // the owner gives the group up; no batch of its epoch follows
+	Records []Record
+}
+
+// Record is one change. Exactly one field is set.
+type Record struct {
+	Submit *Submit
+	Start  *Start
+	End    *jobs.End
+	Cancel *Cancel
+	Settle *Settle
+	Forget *Forget
+	Call   *Call
+}
+
+// Submit accepts a job. Its id is assigned when the record is applied.
+type Submit struct {
+	Spec jobs.Spec
+	AtMs int64
+}
+
+// Start is the intent to run the next attempt of a task.
+type Start struct {
+	Ref     jobs.Ref
+	Attempt int // must be one more than the newest
+	Site    jobs.Site
+	AtMs    int64
+}
+
+// Cancel asks for the end of a job.
+type Cancel struct {
+	Job  jobs.ID
+	AtMs int64
+}
+
+// Settle is an operator's decision on a parked task.
+type Settle struct {
+	Ref    jobs.Ref
+	Action jobs.Action
+	AtMs   int64
+}
+
+// Forget drops jobs and calls that ended before an instant.
+type Forget struct {
+	BeforeMs int64
+}
+
+// SubKey identifies a submission within the cell.
+func SubKey(team, submission string) string { return team + "\x00" + submission }
+
+// Observer learns of every change of a task, while the state applies it.
+type Observer interface {
+	TaskChanged(job *jobs.Job, index int, before jobs.Task)
+}
+
+// State is a group's durable state. It is not safe for concurrent use.
+type State struct {
+	Name  string
+	Watch Observer // may be nil
+
+	Epoch   uint64
+	Seq     uint64 // of the newest batch of the epoch
+	LastSeq uint64 // of the newest batch of the epoch before
+	Owner   Holder
+	NextJob int64
+	Jobs    map[jobs.ID]*jobs.Job
+	Subs    map[string]jobs.ID   // SubKey -> job
+	Used    map[string]jobs.Size // team -> size of its placed tasks
+	Calls   map[string]Call      // SubKey -> call
+}
+
+// NewState returns the state of a group without records.
+func NewState(name string) *State {
+	s := &State{Name: name}
+	s.reset()
+	return s
+}
+
+func (s *State) reset() {
+	s.Jobs = map[jobs.ID]*jobs.Job{}
+	s.Subs = map[string]jobs.ID{}
+	s.Used = map[string]jobs.Size{}
+	s.Calls = map[string]Call{}
+}
+
+// Apply takes the next record of the stream.
+func (s *State) Apply(_ int64, data []byte) {
+	b, err := frame.Decode[Batch](data)
+	if err != nil {
+		return
+	}
+	s.ApplyBatch(b)
+}
+
+// ApplyBatch applies a decoded batch and reports whether it was valid.
+func (s *State) ApplyBatch(b Batch) bool {
+	if b.Claim != nil {
+		return s.applyClaim(b)
+	}
+	if b.Epoch != s.Epoch || b.Seq != s.Seq+1 || s.Owner.Host == "" {
+		return false
+	}
+	s.Seq = b.Seq
+	for _, r := range b.Records {
+		s.applyRecord(r)
+	}
+	if b.Release {
+		s.Owner = Holder{}
+	}
+	return true
+}
+
+func (s *State) applyClaim(b Batch) bool {
+	if b.Epoch != s.Epoch+1 {
+		return false
+	}
+	s.Epoch, s.Seq, s.LastSeq, s.Owner = b.Epoch, 0, s.Seq, *b.Claim
+	return true
+}
+
+// Verdict says whether the batch of an epoch is part of the state, and whether
+// that is settled for ever. It is not settled as long as the batch may still
+// arrive, and no longer known once a second claim has followed.
+func (s *State) Verdict(epoch, seq uint64) (applied, settled bool) {
+	switch {
+	case epoch == s.Epoch:
+		return seq <= s.Seq, seq <= s.Seq || s.Owner.Host == ""
+	case epoch+1 == s.Epoch:
+		return seq <= s.LastSeq, true
+	}
+	return false, false
+}
+
+func (s *State) applyRecord(r Record) {
+	switch {
+	case r.Submit != nil:
+		s.applySubmit(*r.Submit)
+	case r.Start != nil:
+		s.applyStart(*r.Start)
+	case r.End != nil:
+		e := *r.End
+		s.change(e.Ref, e.AtMs, func(j *jobs.Job, t jobs.Task) jobs.Task { return t.WithEnd(j.Spec, e) })
+	case r.Cancel != nil:
+		s.applyCancel(*r.Cancel)
+	case r.Settle != nil:
+		c := *r.Settle
+		s.change(c.Ref, c.AtMs, func(_ *jobs.Job, t jobs.Task) jobs.Task { return t.WithSettled(c.Action, c.AtMs) })
+	case r.Forget != nil:
+		s.applyForget(*r.Forget)
+	case r.Call != nil:
+		s.applyCall(*r.Call)
+	}
+}
+
+func (s *State) applySubmit(r Submit) {
+	key := SubKey(r.Spec.Team, r.Spec.Submission)
+	if _, seen := s.Subs[key]; seen {
+		return
+	}
+	s.NextJob++
+	j := &jobs.Job{ID: jobs.NewID(s.Name, s.NextJob), Spec: r.Spec, SubmitMs: r.AtMs}
+	for range r.Spec.Tasks {
+		j.Tasks = append(j.Tasks, jobs.Task{State: jobs.Waiting})
+	}
+	s.Jobs[j.ID] = j
+	s.Subs[key] = j.ID
+	for i := range j.Tasks {
+		s.notify(j, i, jobs.Task{})
+	}
+}
+
+// applyStart records an intent. An owner that raced itself, for instance with
+// a cancellation in the same batch, gets no effect.
+func (s *State) applyStart(r Start) {
+	s.change(r.Ref, 0, func(_ *jobs.Job, t jobs.Task) jobs.Task {
+		if t.State != jobs.Waiting || t.Attempt+1 != r.Attempt {
+			return t
+		}
+		return t.WithStart(r.Site, r.AtMs)
+	})
+}
+
+func (s *State) applyCancel(c Cancel) {
+	j := s.Jobs[c.Job]
+	if j == nil {
+		return
+	}
+	for i := range j.Tasks {
+		ref := jobs.Ref{Job: j.ID, Index: i}
+		s.change(ref, c.AtMs, func(_ *jobs.Job, t jobs.Task) jobs.Task { return t.WithCancel(c.AtMs) })
+	}
+}
+
+// change replaces a task and keeps the sums and the observer up to date.
+func (s *State) change(ref jobs.Ref, nowMs int64, next func(*jobs.Job, jobs.Task) jobs.Task) {
+	j := s.Jobs[ref.Job]
+	if j == nil || ref.Index < 0 || ref.Index >= len(j.Tasks) {
+		return
+	}
+	before := j.Tasks[ref.Index]
+	after := next(j, before)
+	if after == before {
+		return
+	}
+	j.Tasks[ref.Index] = after
+	s.account(j.Spec, before.State, after.State)
+	if after.State.Final() && j.Ended() {
+		j.EndMs = nowMs
+	}
+	s.notify(j, ref.Index, before)
+}
+
+func (s *State) account(spec jobs.Spec, before, after jobs.State) {
+	used := s.Used[spec.Team]
+	if before == jobs.Placed {
+		used = used.Minus(spec.Size)
+	}
+	if after == jobs.Placed {
+		used = used.Plus(spec.Size)
+	}
+	if used.IsZero() {
+		delete(s.Used, spec.Team)
+		return
+	}
+	s.Used[spec.Team] = used
+}
+
+func (s *State) notify(j *jobs.Job, index int, before jobs.Task) {
+	if s.Watch != nil {
+		s.Watch.TaskChanged(j, index, before)
+	}
+}
+
+func (s *State) applyForget(f Forget) {
+	for id, j := range s.Jobs {
+		if j.EndMs > 0 && j.EndMs < f.BeforeMs && j.Ended() {
+			delete(s.Jobs, id)
+			delete(s.Subs, SubKey(j.Spec.Team, j.Spec.Submission))
+		}
+	}
+	for key, c := range s.Calls {
+		if c.AtMs < f.BeforeMs {
+			delete(s.Calls, key)
+		}
+	}
+}
+
+// Job returns a copy of the job.
+func (s *State) Job(id jobs.ID) (jobs.Job, bool) {
+	j := s.Jobs[id]
+	if j == nil {
+		return jobs.Job{}, false
+	}
+	return j.WithTasks(j.Tasks), true
+}
+
+// Sorted returns the jobs in the order of their submission.
+func (s *State) Sorted() []*jobs.Job {
+	list := make([]*jobs.Job, 0, len(s.Jobs))
+	for _, j := range s.Jobs {
+		list = append(list, j)
+	}
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].SubmitMs != list[b].SubmitMs {
+			return list[a].SubmitMs < list[b].SubmitMs
+		}
+		return list[a].ID < list[b].ID
+	})
+	return list
+}
+
+// image is the encoded form of a State.
+type image struct {
+	Epoch   uint64
+	Seq     uint64
+	LastSeq uint64
+	Owner   Holder
+	NextJob int64
+	Jobs    []*jobs.Job
+	Calls   map[string]Call
+}
+
+// Snapshot returns the encoded state.
+func (s *State) Snapshot() ([]byte, error) {
+	return frame.Encode(image{
+		Epoch: s.Epoch, Seq: s.Seq, LastSeq: s.LastSeq, Owner: s.Owner, NextJob: s.NextJob, Jobs: s.Sorted(), Calls: s.Calls,
+	})
+}
+
+// Restore replaces the state with an encoded one and tells the observer of
+// every task in it.
+func (s *State) Restore(data []byte) error {
+	img, err := frame.Decode[image](data)
+	if err != nil {
+		return err
+	}
+	s.reset()
+	s.Epoch, s.Seq, s.LastSeq, s.Owner, s.NextJob = img.Epoch, img.Seq, img.LastSeq, img.Owner, img.NextJob
+	if img.Calls != nil {
+		s.Calls = img.Calls
+	}
+	for _, j := range img.Jobs {
+		s.Jobs[j.ID] = j
+		s.Subs[SubKey(j.Spec.Team, j.Spec.Submission)] = j.ID
+		for i, t := range j.Tasks {
+			s.account(j.Spec, jobs.Waiting, t.State)
+			s.notify(j, i, jobs.Task{})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/cell/jobs/size.go
@@ -0,0 +1,88 @@
+package jobs
+
+import (
+	"fmt"
+	"math/bits"
+)
+
+// Unlimited stands for a dimension without a bound. It is small enough that
+// sums of thousands of them do not overflow.
+const Unlimited = int64(1) << 48
+
+// Size is an amount of each resource. It is a value; no method changes it.
+type Size struct {
+	CPU   int64 `json:"cpuMillis"`    // millicores
+	Mem   int64 `json:"memoryMiB"`    // MiB
+	Accel int64 `json:"accelerators"` // devices
+}
+
+// Plus returns s + o.
+func (s Size) Plus(o Size) Size {
+	return Size{CPU: s.CPU + o.CPU, Mem: s.Mem + o.Mem, Accel: s.Accel + o.Accel}
+}
+
+// Minus returns s - o. A dimension may become negative.
+func (s Size) Minus(o Size) Size {
+	return Size{CPU: s.CPU - o.CPU, Mem: s.Mem - o.Mem, Accel: s.Accel - o.Accel}
+}
+
+// Times returns n times s.
+func (s Size) Times(n int64) Size {
+	return Size{CPU: s.CPU * n, Mem: s.Mem * n, Accel: s.Accel * n}
+}
+
+// Scaled returns s*num/den, rounded down in each dimension.
+func (s Size) Scaled(num, den Size) Size {
+	return Size{
+		CPU:   scale(s.CPU, num.CPU, den.CPU),
+		Mem:   scale(s.Mem, num.Mem, den.Mem),
+		Accel: scale(s.Accel, num.Accel, den.Accel),
+	}
+}
+
+// scale returns v*num/den rounded down, for v and num of 0 or more. It returns
+// v itself unless num < den, which also covers a zero den.
+func scale(v, num, den int64) int64 {
+	if num >= den || v <= 0 {
+		return v
+	}
+	hi, lo := bits.Mul64(uint64(v), uint64(max(num, 0)))
+	q, _ := bits.Div64(hi, lo, uint64(den))
+	return int64(q)
+}
+
+// Least returns the smaller of s and o in each dimension.
+func (s Size) Least(o Size) Size {
+	return Size{CPU: min(s.CPU, o.CPU), Mem: min(s.Mem, o.Mem), Accel: min(s.Accel, o.Accel)}
+}
+
+// Most returns the larger of s and o in each dimension.
+func (s Size) Most(o Size) Size {
+	return Size{CPU: max(s.CPU, o.CPU), Mem: max(s.Mem, o.Mem), Accel: max(s.Accel, o.Accel)}
+}
+
+// Fits reports whether s is at most o in every dimension.
+func (s Size) Fits(o Size) bool {
+	return s.CPU <= o.CPU && s.Mem <= o.Mem && s.Accel <= o.Accel
+}
+
+// IsZero reports whether every dimension is 0.
+func (s Size) IsZero() bool { return s.CPU == 0 && s.Mem == 0 && s.Accel == 0 }
+
+// Dominant returns the largest fraction that s takes of total in any
+// dimension. A dimension that total lacks does not count.
+func (s Size) Dominant(total Size) float64 {
+	return max(fraction(s.CPU, total.CPU), fraction(s.Mem, total.Mem), fraction(s.Accel, total.Accel))
+}
+
+func fraction(part, whole int64) float64 {
+	if whole <= 0 {
+		return 0
+	}
+	return float64(part) / float64(whole)
+}
+
+// String returns the size in the units in which it is counted.
+func (s Size) String() string {
+	return fmt.Sprintf("%dm cpu, %d MiB, %d accelerators", s.CPU, s.Mem, s.Accel)
+}
--- /dev/null
+++ b/internal/node/entry/cell.go
@@ -0,0 +1,292 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"lagooncourse/internal/base/clock"
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/cell/config"
+	"lagooncourse/internal/node/owner"
+	"lagooncourse/internal/node/peers"
+	"lagooncourse/internal/node/wire"
+	"lagooncourse/internal/plat/stream"
+)
+
+// follower keeps the configuration up to date, from the log and, while the log
+// does not answer this host, from peers that it does answer.
+//
+// The configuration is fresh if this host knew, no longer ago than FreshFor,
+// that it had read everything. A host for which that is not so cannot tell
+// whether a key has been withdrawn. It refuses work, unless nobody can have
+// published anything either: every host that has not left is heard, and none
+// of them has read the log's end within FreshFor. The table of cases is in
+// docs/design/0004-freshness.md.
+type follower struct {
+	log      stream.Log
+	table    *peers.Table
+	pool     *frame.Pool
+	clock    clock.Clock
+	logger   logr.Logger
+	freshFor time.Duration
+	machine  *config.Machine
+
+	mu      sync.Mutex
+	replay  *stream.Replay
+	headAt  time.Time // when the state was last known to be complete
+	recent  [][]byte  // the newest records, for peers
+	changed chan struct{}
+}
+
+var _ owner.Cell = (*follower)(nil)
+
+const (
+	followWait    = time.Second
+	followRetry   = 200 * time.Millisecond
+	peerTimeout   = time.Second
+	maxRecent     = 4096 // records kept for peers
+	changeRetry   = 50 * time.Millisecond
+	maxChangeWait = time.Second
+)
+
+// run follows the stream until ctx ends.
+func (f *follower) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		if f.step(ctx) == nil {
+			continue
+		}
+		f.askPeer(ctx)
+		select {
+		case <-time.After(followRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// step reads one page. The state is complete as of the instant at which the
+// request was sent, since the log answers with all that it had then.
+func (f *follower) step(ctx context.Context) error {
+	f.mu.Lock()
+	from, sent := f.replay.Next(), f.clock.Now()
+	f.mu.Unlock()
+	p, err := f.log.Read(ctx, stream.ReadRequest{Stream: config.Stream, From: from, Wait: followWait})
+	if err != nil {
+		return err
+	}
+	f.take(p, sent)
+	return nil
+}
+
+// take applies a page that was complete at the instant asOf.
+func (f *follower) take(p stream.Page, asOf time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.replay.Next()
+	if f.replay.Take(p) && f.replay.Ready() && asOf.After(f.headAt) {
+		f.headAt = asOf
+	}
+	f.keepRecent(p, before)
+	if f.replay.Next() != before {
+		close(f.changed)
+		f.changed = make(chan struct{})
+	}
+}
+
+// keepRecent keeps the records that have just been applied. The caller holds
+// the lock.
+func (f *follower) keepRecent(p stream.Page, before int64) {
+	if p.First > before {
+		f.recent = nil
+	}
+	for _, rec := range p.Records {
+		if rec.Offset >= before {
+			f.recent = append(f.recent, rec.Data)
+		}
+	}
+	if n := len(f.recent) - maxRecent; n > 0 {
+		f.recent = append([][]byte(nil), f.recent[n:]...)
+	}
+}
+
+// askPeer reads the records that a random peer has and this host lacks.
+func (f *follower) askPeer(ctx context.Context) {
+	now := f.clock.Now()
+	addrs := f.table.Pick(1, newRand(), now)
+	if len(addrs) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	f.mu.Lock()
+	from := f.replay.Next()
+	f.mu.Unlock()
+	a, err := frame.Call(ctx, f.pool, addrs[0], wire.Cell, wire.CellMsg{From: from})
+	if err != nil || a.Next < from || a.First != from {
+		return
+	}
+	page := stream.Page{Next: a.Next}
+	for i, data := range a.Data {
+		page.Records = append(page.Records, stream.Record{Offset: a.First + int64(i), Data: data})
+	}
+	f.take(page, now.Add(-time.Duration(a.AgeMs)*time.Millisecond))
+}
+
+// serve answers a peer's request for records. It has them only from the oldest
+// that it keeps.
+func (f *follower) serve(_ context.Context, msg wire.CellMsg) (a wire.CellAnswer, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	next := f.replay.Next()
+	oldest := next - int64(len(f.recent))
+	if !f.replay.Ready() || msg.From < oldest {
+		return a, fault.New(fault.NotFound, fault.NotRun, "records before offset %d are not at hand", oldest)
+	}
+	a = wire.CellAnswer{First: msg.From, Next: next, AgeMs: f.age().Milliseconds()}
+	if msg.From < next {
+		a.Data = f.recent[msg.From-oldest:]
+	}
+	return a, nil
+}
+
+// age returns how long ago the state was known to be complete. The caller
+// holds the lock.
+func (f *follower) age() time.Duration { return f.clock.Now().Sub(f.headAt) }
+
+// Age returns how long ago the state was known to be complete, and the next
+// offset to read.
+func (f *follower) Age() (time.Duration, int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age(), f.replay.Next()
+}
+
+// State returns the newest configuration.
+func (f *follower) State() *config.State { return f.machine.State() }
+
+// Fresh returns an error unless the configuration may be acted on.
+func (f *follower) Fresh() error {
+	f.mu.Lock()
+	age, ready := f.age(), f.replay.Ready()
+	f.mu.Unlock()
+	if ready && age <= f.freshFor {
+		return nil
+	}
+	silent, freshest, _ := f.table.Silence(f.clock.Now())
+	if ready && !silent && freshest > f.freshFor {
+		return nil
+	}
+	return fault.New(fault.Unavailable, fault.NotRun, "this host's configuration may be out of date").WithRetryAfter(1)
+}
+
+// CutOff reports whether this host alone cannot read the log.
+func (f *follower) CutOff() bool {
+	age, _ := f.Age()
+	_, freshest, heard := f.table.Silence(f.clock.Now())
+	return age > f.freshFor && heard > 0 && freshest <= f.freshFor
+}
+
+// Change appends a change of grants and waits until it has been applied or is
+// void.
+func (f *follower) Change(ctx context.Context, g config.Grants) error {
+	return f.append(ctx, config.Record{Grants: &g}, func(s *config.State) bool {
+		fence := s.Fences[g.Group]
+		return fence.Epoch > g.Fence.Epoch || fence.Epoch == g.Fence.Epoch && fence.Seq >= g.Fence.Seq
+	})
+}
+
+// Edit appends an operator's edit and returns what became of it. A repetition
+// with the same id returns the first result.
+func (f *follower) Edit(ctx context.Context, e config.Edit) (r config.Result, err error) {
+	defer fault.Note(&err, "edit %q", e.ID)
+	err = f.append(ctx, config.Record{Edit: &e}, func(s *config.State) bool {
+		_, ok := s.Results[e.ID]
+		return ok
+	})
+	if err != nil {
+		return r, err
+	}
+	return f.State().Results[e.ID], nil
+}
+
+// append appends a record until done holds for the state. The record may be
+// appended more than once, which the state's rules make harmless.
+func (f *follower) append(ctx context.Context, rec config.Record, done func(*config.State) bool) error {
+	data, err := frame.Encode(rec)
+	if err != nil {
+		return err
+	}
+	if data, err = stream.EncodeRecord(data); err != nil {
+		return err
+	}
+	sent := false
+	wait := changeRetry
+	for !done(f.State()) {
+		_, err := f.log.Append(ctx, config.Stream, data)
+		sent = sent || fault.RanOf(err) != fault.NotRun
+		if err == nil {
+			if f.await(ctx, done) {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(wait):
+		case <-ctx.Done():
+			ran := fault.NotRun
+			if sent {
+				ran = fault.Unknown
+			}
+			return fault.New(fault.Unavailable, ran, "the log has not confirmed the change")
+		}
+		wait = min(2*wait, maxChangeWait)
+	}
+	return nil
+}
+
+// await waits until done holds, for as long as reading an appended record may
+// take.
+func (f *follower) await(ctx context.Context, done func(*config.State) bool) bool {
+	timeout := time.After(followWait)
+	for {
+		f.mu.Lock()
+		changed := f.changed
+		f.mu.Unlock()
+		if done(f.State()) {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// snapshot appends a snapshot of the configuration.
+func (f *follower) snapshot(ctx context.Context) error {
+	f.mu.Lock()
+	if !f.replay.Ready() {
+		f.mu.Unlock()
+		return nil
+	}
+	data, err := f.replay.EncodeSnapshot()
+	f.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	_, err = f.log.Append(ctx, config.Stream, data)
+	return err
+}
+
+// sinceSnapshot returns the records since the newest snapshot.
+func (f *follower) sinceSnapshot() int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n, _ := f.replay.SinceSnapshot()
+	return n
+}
--- /dev/null
+++ b/internal/node/entry/metrics.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"net/http"
+	"strconv"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lagooncourse/internal/base/fault"
+)
+
+// metrics is the host's registry. Gauges are read from the host when they are
+// scraped, so nothing is counted twice.
+type metrics struct {
+	registry *prometheus.Registry
+	requests *prometheus.CounterVec
+	calls    *prometheus.CounterVec
+}
+
+const metricPrefix = "lagooncourse"
+
+func newMetrics(h *Host) *metrics {
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricPrefix, Name: "http_requests_total", Help: "Requests by route and status.",
+		}, []string{"route", "status"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Namespace: metricPrefix, Name: "calls_total", Help: "Calls to services by outcome.",
+		}, []string{"service", "ran"}),
+	}
+	m.registry.MustRegister(m.requests, m.calls)
+	m.gauge("cell_age_seconds", "Time since the configuration was known to be complete.", func() float64 {
+		age, _ := h.cell.Age()
+		return age.Seconds()
+	})
+	m.gauge("cell_next_offset", "Next offset of the configuration stream to read.", func() float64 {
+		_, next := h.cell.Age()
+		return float64(next)
+	})
+	m.gauge("live_hosts", "Entry hosts that are alive, this one included.", func() float64 {
+		return float64(len(h.table.Live(h.clock.Now())))
+	})
+	m.gauge("peer_bytes_in_total", "Bytes received from entry hosts.", func() float64 { return float64(h.traffic()["in"]) })
+	m.gauge("peer_bytes_out_total", "Bytes sent to entry hosts.", func() float64 { return float64(h.traffic()["out"]) })
+	m.registry.MustRegister(&groupCollector{h: h})
+	return m
+}
+
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Namespace: metricPrefix, Name: name, Help: help,
+	}, read))
+}
+
+// called counts a call by its outcome.
+func (m *metrics) called(service string, ran fault.Outcome) {
+	m.calls.WithLabelValues(service, string(ran)).Inc()
+}
+
+// count wraps a handler so that its answers are counted by status.
+func (m *metrics) count(route string, fn http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		sw := &statusWriter{ResponseWriter: w, status: http.StatusOK}
+		fn(sw, r)
+		m.requests.WithLabelValues(route, strconv.Itoa(sw.status)).Inc()
+	}
+}
+
+// statusWriter remembers the status of an answer.
+type statusWriter struct {
+	http.ResponseWriter
+	status int
+}
+
+func (w *statusWriter) WriteHeader(status int) {
+	w.status = status
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Unwrap gives the response controller access to the underlying writer.
+func (w *statusWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// groupCollector reports the groups that the host owns.
+type groupCollector struct{ h *Host }
+
+var _ prometheus.Collector = (*groupCollector)(nil)
+
+var (
+	groupLabels  = []string{"group"}
+	descEpoch    = prometheus.NewDesc(metricPrefix+"_group_epoch", "Epoch of an owned group.", groupLabels, nil)
+	descQueued   = prometheus.NewDesc(metricPrefix+"_group_queued", "Items waiting in an owned group.", groupLabels, nil)
+	descJobs     = prometheus.NewDesc(metricPrefix+"_group_jobs", "Jobs remembered by an owned group.", groupLabels, nil)
+	descPending  = prometheus.NewDesc(metricPrefix+"_group_pending", "Changes that wait for the log.", groupLabels, nil)
+	descCommits  = prometheus.NewDesc(metricPrefix+"_group_commits_total", "Batches committed.", groupLabels, nil)
+	descStarts   = prometheus.NewDesc(metricPrefix+"_group_starts_total", "Attempts started.", groupLabels, nil)
+	descTakeover = prometheus.NewDesc(metricPrefix+"_group_takeovers_total", "Claims won.", groupLabels, nil)
+	descLost     = prometheus.NewDesc(metricPrefix+"_group_lost_workers", "Workers whose lease has run out.", groupLabels, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c *groupCollector) Describe(ch chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{descEpoch, descQueued, descJobs, descPending, descCommits, descStarts, descTakeover, descLost} {
+		ch <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c *groupCollector) Collect(ch chan<- prometheus.Metric) {
+	for _, og := range c.h.ownGroups() {
+		d := og.g.Dump()
+		if d.Epoch == 0 {
+			continue
+		}
+		lost := 0
+		for _, w := range d.Workers {
+			if w.Lost {
+				lost++
+			}
+		}
+		emit := func(desc *prometheus.Desc, t prometheus.ValueType, v float64) {
+			ch <- prometheus.MustNewConstMetric(desc, t, v, d.Group)
+		}
+		emit(descEpoch, prometheus.GaugeValue, float64(d.Epoch))
+		emit(descQueued, prometheus.GaugeValue, float64(d.Queued))
+		emit(descJobs, prometheus.GaugeValue, float64(d.Jobs))
+		emit(descPending, prometheus.GaugeValue, float64(d.Pending))
+		emit(descCommits, prometheus.CounterValue, float64(d.Stats.Commits))
+		emit(descStarts, prometheus.CounterValue, float64(d.Stats.Starts))
+		emit(descTakeover, prometheus.CounterValue, float64(d.Stats.Takeover))
+		emit(descLost, prometheus.GaugeValue, float64(lost))
+	}
+}
--- /dev/null
+++ b/internal/node/entry/settings.go
@@ -0,0 +1,105 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"time"
+
+	"lagooncourse/internal/base/conf"
+	"lagooncourse/internal/node/owner"
+)
+
+// Settings is the settings file of an entry host.
+type Settings struct {
+	Host struct {
+		ID     string   `ini:"id" required:"true" doc:"name of this host, unique in the cell"`
+		Az     string   `ini:"az" required:"true" doc:"availability zone of this host"`
+		Listen string   `ini:"listen" required:"true" doc:"IP:port for callers and operators"`
+		Peer   string   `ini:"peer" required:"true" doc:"IP:port for other entry hosts"`
+		Peers  []string `ini:"peers" doc:"peer addresses of some other entry hosts, to find the rest"`
+	} `ini:"host"`
+
+	Platform struct {
+		Log        string        `ini:"log" required:"true" doc:"base URL of the log service"`
+		LogTimeout time.Duration `ini:"logTimeout" def:"2s" min:"100ms" max:"30s" doc:"for one request to the log"`
+		HostLists  []string      `ini:"hostLists" required:"true" doc:"base URLs that serve parts of the host list"`
+		HostsEvery time.Duration `ini:"hostsEvery" def:"1s" min:"50ms" max:"60s" doc:"between two reads of the host list"`
+		GroupsInAz int           `ini:"groupsInAz" def:"2" min:"1" max:"64" doc:"groups into which the racks of an availability zone are divided; the same on all hosts"`
+	} `ini:"platform"`
+
+	Timing struct {
+		Commit       time.Duration `ini:"commit" def:"25ms" min:"1ms" max:"2s" doc:"least time between two appends of a group"`
+		Gossip       time.Duration `ini:"gossip" def:"250ms" min:"20ms" max:"5s" doc:"between two exchanges with peers"`
+		SuspectAfter time.Duration `ini:"suspectAfter" def:"2s" min:"100ms" max:"60s" doc:"without a heartbeat a host counts as dead"`
+		Renew        time.Duration `ini:"renew" def:"2s" min:"50ms" max:"60s" doc:"between two renewals of an unchanged worker"`
+		Lease        time.Duration `ini:"lease" def:"8s" min:"200ms" max:"10m" doc:"a worker's lease; at least three renewals"`
+		Margin       time.Duration `ini:"margin" def:"1s" min:"10ms" max:"60s" doc:"for the drift between two hosts' clocks"`
+		FreshFor     time.Duration `ini:"freshFor" def:"3s" min:"100ms" max:"60s" doc:"a configuration that is older is not trusted while others have a newer one"`
+		Keep         time.Duration `ini:"keep" def:"24h" min:"1m" max:"720h" doc:"how long ended jobs and calls are remembered"`
+		Snapshot     time.Duration `ini:"snapshot" def:"10m" min:"1s" max:"24h" doc:"most time between two snapshots of a stream; a quarter of the log's retention or less"`
+		NotReady     time.Duration `ini:"notReady" def:"1s" min:"0s" max:"60s" doc:"how long a stopping host goes on to answer after it has stopped being ready"`
+		Stop         time.Duration `ini:"stop" def:"20s" min:"1s" max:"10m" doc:"bound for a graceful stop"`
+	} `ini:"timing"`
+
+	API struct {
+		MaxBody     int64         `ini:"maxBodyBytes" def:"1048576" min:"1024" max:"4194304" doc:"largest body of a request, in bytes"`
+		CallTimeout time.Duration `ini:"callTimeout" def:"10s" min:"10ms" max:"10m" doc:"for a call that names no timeout"`
+		OperatorKey string        `ini:"operatorKeyHash" doc:"SHA-256 of the operators' key in hexadecimal; empty admits operators from the loopback address only"`
+	} `ini:"api"`
+
+	Logs struct {
+		Level string `ini:"level" def:"info" oneof:"debug,info,error" doc:"least severe line that is written"`
+	} `ini:"logs"`
+}
+
+var _ conf.Checker = Settings{}
+
+const minRenewalsInLease = 3
+
+// Check returns the errors that span several keys.
+func (s Settings) Check() error {
+	var errs []error
+	bad := func(section, key string, value any, format string, args ...any) {
+		errs = append(errs, &conf.Error{Section: section, Key: key, Value: fmt.Sprint(value), Want: fmt.Sprintf(format, args...)})
+	}
+	if s.Timing.Lease < minRenewalsInLease*s.Timing.Renew {
+		bad("timing", "lease", s.Timing.Lease, "must be at least %d times renew, which is %s", minRenewalsInLease, s.Timing.Renew)
+	}
+	if s.Timing.SuspectAfter < 3*s.Timing.Gossip {
+		bad("timing", "suspectAfter", s.Timing.SuspectAfter, "must be at least 3 times gossip, which is %s", s.Timing.Gossip)
+	}
+	if s.Host.Listen == s.Host.Peer {
+		bad("host", "peer", s.Host.Peer, "must differ from listen")
+	}
+	for key, addr := range map[string]string{"listen": s.Host.Listen, "peer": s.Host.Peer} {
+		if !isAddr(addr) {
+			bad("host", key, addr, "must have the form IP:port with a numeric IP")
+		}
+	}
+	for _, addr := range s.Host.Peers {
+		if !isAddr(addr) {
+			bad("host", "peers", addr, "must have the form IP:port with a numeric IP")
+		}
+	}
+	for _, u := range append([]string{s.Platform.Log}, s.Platform.HostLists...) {
+		if p, err := url.Parse(u); err != nil || p.Scheme != "http" || p.Host == "" {
+			bad("platform", "log, hostLists", u, "must be a URL such as http://10.0.0.9:7000")
+		}
+	}
+	return errors.Join(errs...)
+}
+
+func isAddr(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	return err == nil && net.ParseIP(host) != nil && port != ""
+}
+
+// owner returns the timing of a group.
+func (s Settings) owner() owner.Timing {
+	t := owner.DefaultTiming()
+	t.Commit, t.Renew, t.Lease, t.Margin = s.Timing.Commit, s.Timing.Renew, s.Timing.Lease, s.Timing.Margin
+	t.Keep, t.Snapshot = s.Timing.Keep, s.Timing.Snapshot
+	return t
+}
--- /dev/null
+++ b/internal/node/owner/keep.go
@@ -0,0 +1,407 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/cell/books"
+	"lagooncourse/internal/cell/config"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/node/wire"
+	"lagooncourse/internal/plat/hosts"
+	"lagooncourse/internal/plat/worker"
+)
+
+// This file keeps the group's workers: it renews their leases, reconciles the
+// books with their inventories, and serves the requests of jobs' homes.
+//
+// A renewal waits at the worker until something has changed there, so the end
+// of a task is known at once without polling. A worker that does not answer is
+// first probed without a new lease. Once the last lease that it can have
+// received has surely run out, everything on it is reported as lost.
+
+const (
+	probeEvery   = 500 * time.Millisecond
+	probesToLose = 2 // failed renewals before the lease is no longer extended
+)
+
+// keeper renews one worker.
+type keeper struct {
+	host   hosts.Worker
+	w      worker.Worker
+	cancel context.CancelFunc
+	ctx    context.Context
+
+	// Guarded by the group's lock.
+	version   uint64
+	forget    []worker.Attempt
+	failures  int
+	leaseEnds time.Time // by then the worker's newest lease has run out for sure
+	lost      bool
+	running   bool // the loop has been started
+}
+
+// syncWorkers brings books and keepers in line with the host list. The caller
+// holds the lock.
+func (g *Group) syncWorkers() {
+	list := make([]books.Worker, 0, len(g.workers))
+	for _, h := range g.workers {
+		list = append(list, books.Worker{
+			ID: h.ID, Rack: h.Rack, Cap: jobs.Size{CPU: h.CPU, Mem: h.Mem, Accel: h.Accel},
+			Leaving: h.State == hosts.Leaving,
+		})
+	}
+	g.books.SetWorkers(list)
+	for _, h := range g.workers {
+		k := g.keepers[h.ID]
+		if k != nil && k.host.URL == h.URL {
+			continue
+		}
+		if k != nil && k.cancel != nil {
+			k.cancel()
+		}
+		// A predecessor may have extended the lease just before it stopped.
+		ends := g.ownedAt.Add(g.cfg.Timing.Lease + g.cfg.Timing.Renew + g.cfg.Timing.Margin)
+		g.keepers[h.ID] = &keeper{host: h, w: g.cfg.Dial(h), leaseEnds: ends}
+	}
+}
+
+// startKeepers starts the loop of every keeper that has none, now and whenever
+// the host list brings a new worker.
+func (g *Group) startKeepers(ctx context.Context) {
+	g.runNewKeepers(ctx)
+	go every(ctx, probeEvery, g.runNewKeepers)
+}
+
+func (g *Group) runNewKeepers(ctx context.Context) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch == 0 {
+		return
+	}
+	for _, k := range g.keepers {
+		if k.running {
+			continue
+		}
+		k.running = true
+		k.ctx, k.cancel = context.WithCancel(ctx)
+		go g.keep(k, g.epoch)
+	}
+}
+
+func (g *Group) stopKeepers() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, k := range g.keepers {
+		if k.cancel != nil {
+			k.cancel()
+		}
+	}
+}
+
+// keep renews one worker until the group is given up.
+func (g *Group) keep(k *keeper, epoch uint64) {
+	for k.ctx.Err() == nil {
+		req, ok := g.renewal(k, epoch)
+		if !ok {
+			return
+		}
+		inv, err := k.w.Renew(k.ctx, req)
+		if k.ctx.Err() != nil {
+			return
+		}
+		if err == nil {
+			g.renewed(k, epoch, req, inv)
+			continue
+		}
+		if g.notRenewed(k, epoch, err) {
+			return
+		}
+		select {
+		case <-time.After(probeEvery):
+		case <-k.ctx.Done():
+		}
+	}
+}
+
+// renewal makes the next request for a worker. While the worker does not
+// answer, the request extends no lease, so that the time after which all of
+// its tasks have stopped stays where it is.
+func (g *Group) renewal(k *keeper, epoch uint64) (worker.RenewRequest, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch != epoch {
+		return worker.RenewRequest{}, false
+	}
+	req := worker.RenewRequest{
+		Token:  worker.Token{Epoch: epoch, Seq: g.books.Floor(k.host.ID)},
+		Since:  k.version,
+		WaitMs: g.cfg.Timing.Renew.Milliseconds(),
+		Forget: append([]worker.Attempt(nil), k.forget...),
+	}
+	if k.failures > 0 || !g.books.Ready(k.host.ID) {
+		req.WaitMs, req.Since = 0, 0
+	}
+	if k.failures < probesToLose {
+		req.TTLMs = g.cfg.Timing.Lease.Milliseconds()
+		timing := g.cfg.Timing
+		ends := g.cfg.Clock.Now().Add(renewTimeout + timing.Renew + timing.Lease + timing.Margin)
+		if ends.After(k.leaseEnds) {
+			k.leaseEnds = ends
+		}
+	}
+	return req, true
+}
+
+// renewTimeout is the worker client's bound for a request, beyond its wait. A
+// request that is older has no effect at the worker.
+const renewTimeout = time.Second
+
+// renewed takes a worker's answer.
+func (g *Group) renewed(k *keeper, epoch uint64, req worker.RenewRequest, inv worker.Inventory) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch != epoch {
+		return
+	}
+	if k.lost {
+		g.log.Info("worker answers again", "worker", k.host.ID)
+	}
+	k.failures, k.lost, k.version = 0, false, inv.Version
+	k.forget = k.forget[len(req.Forget):]
+	news := g.books.Inventory(k.host.ID, books.Inventory{Floor: req.Token.Seq, Boot: inv.Boot, Seen: seen(inv)})
+	if len(news) > 0 {
+		go g.sendReports(k.ctx)
+	}
+	g.poke()
+}
+
+// seen translates a worker's inventory for the books.
+func seen(inv worker.Inventory) []books.Seen {
+	var list []books.Seen
+	for _, r := range inv.Running {
+		list = append(list, books.Seen{
+			Attempt: books.Attempt{Task: r.Attempt.Task, Number: r.Attempt.Number}, Home: r.Home,
+			Kind: jobs.Kind(r.Class), Size: jobs.Size{CPU: r.CPU, Mem: r.Mem, Accel: r.Accel},
+		})
+	}
+	for _, f := range inv.Finished {
+		list = append(list, books.Seen{
+			Attempt: books.Attempt{Task: f.Attempt.Task, Number: f.Attempt.Number}, Home: f.Home,
+			How: howOf(f.End), Result: f.Result, Checkpoint: f.Checkpoint,
+		})
+	}
+	return list
+}
+
+// howOf translates the end that a worker reports.
+func howOf(e worker.End) jobs.How {
+	switch e {
+	case worker.EndOK:
+		return jobs.EndOK
+	case worker.EndFailed:
+		return jobs.EndFailed
+	case worker.EndCheckpointed:
+		return jobs.EndCheckpointed
+	}
+	return jobs.EndStopped
+}
+
+// notRenewed takes a failed renewal. It reports whether the keeper must stop,
+// because the worker has seen a later epoch.
+func (g *Group) notRenewed(k *keeper, epoch uint64, err error) (stop bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch != epoch {
+		return true
+	}
+	if fault.Is(err, fault.Conflict) {
+		// Only the log decides who owns the group. The next append or read
+		// will show the claim behind the later epoch.
+		g.checkOwner()
+		return false
+	}
+	k.failures++
+	if k.failures >= probesToLose {
+		g.books.Unready(k.host.ID)
+	}
+	if k.lost || g.cfg.Clock.Now().Before(k.leaseEnds) {
+		return false
+	}
+	k.lost = true
+	news := g.books.LoseWorker(k.host.ID)
+	g.log.Info("worker is lost", "worker", k.host.ID, "tasks", len(news), "err", err.Error())
+	if len(news) > 0 {
+		go g.sendReports(k.ctx)
+	}
+	return false
+}
+
+// checkOwner proposes an empty batch, whose fate shows whether the epoch still
+// stands. The caller holds the lock.
+func (g *Group) checkOwner() {
+	if len(g.pending) == 0 {
+		_ = g.propose(proposal{})
+	}
+}
+
+// Reserve reserves room for all attempts of another group's plan, or for none.
+func (g *Group) Reserve(_ context.Context, msg wire.ReserveMsg) (a wire.ReserveAnswer, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch == 0 {
+		return a, notOwner(g.cfg.Name)
+	}
+	if err := g.mayStart(); err != nil {
+		return a, err
+	}
+	until := g.nowMs() + msg.TTLMs
+	for i := range msg.Asks {
+		msg.Asks[i].UntilMs = until
+	}
+	slots, ok := reserveAll(g.books, msg.Asks)
+	if !ok {
+		return a, fault.New(fault.Overload, fault.NotRun, "group %q has no room", g.cfg.Name)
+	}
+	return wire.ReserveAnswer{Slots: slots}, nil
+}
+
+// mayStart returns an error if no work may start in the group's availability
+// zone now.
+func (g *Group) mayStart() error {
+	if err := g.cfg.Cell.Fresh(); err != nil {
+		return err
+	}
+	if g.cfg.Cell.State().AzOut(g.cfg.Az) {
+		return fault.New(fault.Unavailable, fault.NotRun, "availability zone %q is out of service", g.cfg.Az)
+	}
+	return nil
+}
+
+// Start starts a reserved attempt. The answer Absent means that it does not
+// run and never will.
+func (g *Group) Start(ctx context.Context, msg wire.StartMsg) (a wire.StartAnswer, err error) {
+	k, seq, epoch, err := g.beginStart(msg)
+	if err != nil {
+		return a, err
+	}
+	if k == nil {
+		return wire.StartAnswer{Place: books.Absent}, nil
+	}
+	err = k.w.Start(ctx, startRequest(msg, worker.Token{Epoch: epoch, Seq: seq}))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch != epoch {
+		return wire.StartAnswer{Place: books.Unsure}, nil
+	}
+	switch {
+	case err == nil:
+		g.books.Started(msg.Attempt)
+		return wire.StartAnswer{Place: books.There}, nil
+	case fault.RanOf(err) == fault.NotRun:
+		g.books.Refused(msg.Attempt)
+		return wire.StartAnswer{Place: books.Absent}, nil
+	}
+	g.books.Unsure(msg.Attempt)
+	g.stats.Unsure++
+	return wire.StartAnswer{Place: books.Unsure}, nil
+}
+
+// beginStart books the start as sent. A nil keeper means that the attempt must
+// not start.
+func (g *Group) beginStart(msg wire.StartMsg) (k *keeper, seq, epoch uint64, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch == 0 {
+		return nil, 0, 0, notOwner(g.cfg.Name)
+	}
+	if g.mayStart() != nil {
+		g.books.Cancel(msg.Attempt)
+		return nil, 0, 0, nil
+	}
+	id, seq, ok := g.books.Begin(msg.Attempt)
+	if !ok {
+		return nil, 0, 0, nil
+	}
+	return g.keepers[id], seq, g.epoch, nil
+}
+
+func startRequest(msg wire.StartMsg, token worker.Token) worker.StartRequest {
+	return worker.StartRequest{
+		Token:   token,
+		Attempt: worker.Attempt{Task: msg.Attempt.Task, Number: msg.Attempt.Number},
+		Home:    msg.Home, Family: msg.Spec.Name, Class: string(msg.Spec.Kind),
+		CPU: msg.Spec.Size.CPU, Mem: msg.Spec.Size.Mem, Accel: msg.Spec.Size.Accel,
+		RunMs: msg.Spec.RunMs, Checkpoint: msg.Checkpoint, Payload: msg.Spec.Payload,
+	}
+}
+
+// Stop ends an attempt on one of the group's workers. Its end is reported like
+// any other.
+func (g *Group) Stop(ctx context.Context, msg wire.StopMsg) error {
+	g.mu.Lock()
+	if g.epoch == 0 {
+		g.mu.Unlock()
+		return notOwner(g.cfg.Name)
+	}
+	id, ok := g.books.WorkerOf(msg.Attempt)
+	k, epoch := g.keepers[id], g.epoch
+	g.mu.Unlock()
+	if !ok || k == nil {
+		return nil
+	}
+	return k.w.Stop(ctx, worker.StopRequest{
+		Token:      worker.Token{Epoch: epoch},
+		Attempt:    worker.Attempt{Task: msg.Attempt.Task, Number: msg.Attempt.Number},
+		Checkpoint: msg.Checkpoint,
+	})
+}
+
+// Where says what became of attempts that were meant for the group's workers.
+func (g *Group) Where(_ context.Context, msg wire.WhereMsg) (a wire.WhereAnswer, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch == 0 {
+		return a, notOwner(g.cfg.Name)
+	}
+	timing := g.cfg.Timing
+	expired := g.cfg.Clock.Now().After(g.ownedAt.Add(renewTimeout + timing.Renew + timing.Lease + timing.Margin))
+	a.Epoch = g.epoch
+	for _, q := range msg.Queries {
+		place, r := g.books.Where(q, expired)
+		a.Places = append(a.Places, place)
+		a.Reports = append(a.Reports, r)
+	}
+	return a, nil
+}
+
+// drainBatch bounds the tasks that are moved off at each look, so that a zone
+// that leaves does not flood the others at once.
+const drainBatch = 8
+
+// drain stops tasks, with their state kept, on workers that are leaving or
+// whose availability zone is out of service.
+func (g *Group) drain(ctx context.Context) {
+	for _, at := range g.toDrain(g.cfg.Cell.State()) {
+		go func() { _ = g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: true}) }()
+	}
+}
+
+func (g *Group) toDrain(cell *config.State) []books.Attempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	out := cell.AzOut(g.cfg.Az)
+	var list []books.Attempt
+	for _, h := range g.workers {
+		if !out && h.State != hosts.Leaving {
+			continue
+		}
+		for _, b := range g.books.Running(h.ID) {
+			if len(list) < drainBatch {
+				list = append(list, b.Attempt)
+			}
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/plat/fakes/log.go
@@ -0,0 +1,279 @@
+package fakes
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+	"golang.org/x/time/rate"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/httpd"
+	"lagooncourse/internal/plat/stream"
+)
+
+// LogConfig describes a log stand-in.
+type LogConfig struct {
+	Addr             string
+	AppendsPerSecond int           // budget for all streams together; 0 means no limit
+	Retention        time.Duration // records older than this disappear; 0 keeps them
+}
+
+// LogSwitch brings about failures of the log.
+type LogSwitch struct {
+	Outage      bool  `json:"outage"`      // every request ends without an answer
+	SlowMs      int64 `json:"slowMs"`      // added to every request
+	LoseAnswers int   `json:"loseAnswers"` // so many appends take effect and are not answered
+	DropAppends int   `json:"dropAppends"` // so many appends are neither done nor answered
+	KeepLast    int   `json:"keepLast"`    // truncate every stream to its last records now; 0 does nothing
+}
+
+// LogStats counts what the log did.
+type LogStats struct {
+	Appends int64 `json:"appends"`
+	Refused int64 `json:"refused"` // over the append budget
+	Reads   int64 `json:"reads"`
+	Bytes   int64 `json:"bytes"` // appended
+}
+
+// Log is a stand-in for the platform's log service.
+type Log struct {
+	cfg    LogConfig
+	srv    *httpd.Server
+	limit  *rate.Limiter
+	cancel context.CancelFunc
+	ctx    context.Context
+
+	mu      sync.Mutex
+	sw      LogSwitch
+	stats   LogStats
+	streams map[string]*logStream
+}
+
+type logStream struct {
+	first   int64
+	records []logRecord
+	changed chan struct{} // closed at the next append
+}
+
+type logRecord struct {
+	data []byte
+	at   time.Time
+}
+
+const (
+	maxAppendBytes = 4 << 20
+	maxPageBytes   = 4 << 20
+	appendBurst    = 20
+)
+
+// StartLog starts a log on cfg.Addr.
+func StartLog(cfg LogConfig) (l *Log, err error) {
+	defer fault.Note(&err, "start log stand-in")
+	limit := rate.NewLimiter(rate.Inf, 0)
+	if cfg.AppendsPerSecond > 0 {
+		limit = rate.NewLimiter(rate.Limit(cfg.AppendsPerSecond), appendBurst)
+	}
+	l = &Log{cfg: cfg, limit: limit, streams: map[string]*logStream{}}
+	l.ctx, l.cancel = context.WithCancel(context.Background())
+	l.srv, err = httpd.Listen(httpd.Config{Name: "log", Addr: cfg.Addr, Routes: []rest.Route{
+		post("/streams/:name", l.guard(l.append)),
+		get("/streams/:name", l.guard(l.read)),
+		get("/stats", func(w http.ResponseWriter, _ *http.Request) { httpd.WriteJSON(w, l.Stats()) }),
+		switchRoute(l.Set),
+	}})
+	if err != nil {
+		return nil, err
+	}
+	go func() { _ = l.srv.Serve() }()
+	return l, nil
+}
+
+// URL returns the base URL of the log.
+func (l *Log) URL() string { return l.srv.URL() }
+
+// Close stops the log at once.
+func (l *Log) Close() {
+	l.cancel()
+	l.srv.Close()
+}
+
+// Set throws the switches.
+func (l *Log) Set(s LogSwitch) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sw = s
+	if s.KeepLast > 0 {
+		for _, st := range l.streams {
+			st.drop(len(st.records) - s.KeepLast)
+		}
+	}
+}
+
+// Stats returns the counters.
+func (l *Log) Stats() LogStats {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.stats
+}
+
+// Records returns every record of a stream that retention has kept.
+func (l *Log) Records(name string) []stream.Record {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	st := l.stream(name)
+	records := make([]stream.Record, 0, len(st.records))
+	for i, rec := range st.records {
+		records = append(records, stream.Record{Offset: st.first + int64(i), Data: rec.data})
+	}
+	return records
+}
+
+// guard applies outage and slowness to a handler.
+func (l *Log) guard(h http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		l.mu.Lock()
+		sw := l.sw
+		l.mu.Unlock()
+		if sw.SlowMs > 0 {
+			select {
+			case <-time.After(time.Duration(sw.SlowMs) * time.Millisecond):
+			case <-r.Context().Done():
+			}
+		}
+		if sw.Outage {
+			hangUp(w)
+			return
+		}
+		h(w, r)
+	}
+}
+
+func (l *Log) append(w http.ResponseWriter, r *http.Request) {
+	req, err := httpd.ReadJSON[stream.AppendRequest](r, maxAppendBytes)
+	if err != nil {
+		httpd.WriteError(w, err)
+		return
+	}
+	if !l.limit.Allow() {
+		l.mu.Lock()
+		l.stats.Refused++
+		l.mu.Unlock()
+		httpd.WriteError(w, fault.New(fault.Overload, fault.NotRun, "append budget is used up"))
+		return
+	}
+	offset, answered := l.add(pathvar.Vars(r)["name"], req.Data)
+	if !answered {
+		hangUp(w)
+		return
+	}
+	httpd.WriteJSON(w, stream.AppendAnswer{Offset: offset})
+}
+
+// add appends a record unless a switch drops it. The second result says
+// whether the caller gets an answer.
+func (l *Log) add(name string, data []byte) (offset int64, answered bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.sw.DropAppends > 0 {
+		l.sw.DropAppends--
+		return 0, false
+	}
+	st := l.stream(name)
+	st.records = append(st.records, logRecord{data: data, at: time.Now()})
+	close(st.changed)
+	st.changed = make(chan struct{})
+	l.stats.Appends++
+	l.stats.Bytes += int64(len(data))
+	if l.sw.LoseAnswers > 0 {
+		l.sw.LoseAnswers--
+		return 0, false
+	}
+	return st.first + int64(len(st.records)) - 1, true
+}
+
+func (l *Log) read(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	from, _ := strconv.ParseInt(q.Get("from"), 10, 64)
+	most, _ := strconv.Atoi(q.Get("max"))
+	waitMs, _ := strconv.ParseInt(q.Get("waitMs"), 10, 64)
+	name := pathvar.Vars(r)["name"]
+	deadline := time.After(time.Duration(waitMs) * time.Millisecond)
+	for {
+		page, changed := l.page(name, from, most)
+		if len(page.Records) > 0 || waitMs == 0 {
+			httpd.WriteJSON(w, page)
+			return
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			waitMs = 0
+		case <-r.Context().Done():
+			return
+		case <-l.ctx.Done():
+			hangUp(w)
+			return
+		}
+		if l.out() {
+			hangUp(w)
+			return
+		}
+	}
+}
+
+func (l *Log) out() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.sw.Outage
+}
+
+func (l *Log) page(name string, from int64, most int) (stream.Page, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stats.Reads++
+	st := l.stream(name)
+	st.expire(l.cfg.Retention)
+	p := stream.Page{First: st.first, Next: st.first + int64(len(st.records)), Records: []stream.Record{}}
+	size := 0
+	for off := max(from, st.first); off < p.Next && len(p.Records) < most && size < maxPageBytes; off++ {
+		data := st.records[off-st.first].data
+		size += len(data)
+		p.Records = append(p.Records, stream.Record{Offset: off, Data: data})
+	}
+	return p, st.changed
+}
+
+// stream returns the named stream; the caller holds the lock.
+func (l *Log) stream(name string) *logStream {
+	st := l.streams[name]
+	if st == nil {
+		st = &logStream{changed: make(chan struct{})}
+		l.streams[name] = st
+	}
+	return st
+}
+
+func (st *logStream) expire(age time.Duration) {
+	if age == 0 {
+		return
+	}
+	limit := time.Now().Add(-age)
+	n := 0
+	for n < len(st.records) && st.records[n].at.Before(limit) {
+		n++
+	}
+	st.drop(n)
+}
+
+func (st *logStream) drop(n int) {
+	if n <= 0 {
+		return
+	}
+	st.records = st.records[n:]
+	st.first += int64(n)
+}
--- /dev/null
+++ b/internal/plat/fakes/worker.go
@@ -0,0 +1,471 @@
+package fakes
+
+import (
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest"
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/httpd"
+	"lagooncourse/internal/plat/hosts"
+	"lagooncourse/internal/plat/worker"
+)
+
+// FleetConfig describes a fleet of workers behind one address.
+type FleetConfig struct {
+	Addr    string
+	Workers []hosts.Worker // URL is filled in
+}
+
+// WorkerSwitch brings about failures of one worker.
+type WorkerSwitch struct {
+	Worker    string      `json:"worker"`
+	FailAll   bool        `json:"failAll"` // every task fails as soon as it starts
+	Paused    bool        `json:"paused"`  // requests get no answer until this ends; leases go on to run out
+	Dead      bool        `json:"dead"`    // no request is answered, and all tasks are gone
+	LoseStart int         `json:"loseStart"`
+	State     hosts.State `json:"state"` // in the host list; empty leaves it
+}
+
+// Run is what a worker recorded about one attempt.
+type Run struct {
+	Worker  string     `json:"worker"`
+	Az      string     `json:"az"`
+	Task    string     `json:"task"`
+	Attempt int        `json:"attempt"`
+	Class   string     `json:"class"`
+	StartMs int64      `json:"startMs"`
+	EndMs   int64      `json:"endMs"` // 0 while it runs
+	End     worker.End `json:"end"`
+	CPU     int64      `json:"cpu"`
+	Mem     int64      `json:"mem"`
+	Accel   int64      `json:"accel"`
+}
+
+// Fleet is a stand-in for a number of workers.
+type Fleet struct {
+	srv     *httpd.Server
+	workers map[string]*fakeWorker
+	order   []string
+}
+
+// fakeWorker is one worker. Its lock guards all fields below it.
+type fakeWorker struct {
+	host hosts.Worker
+
+	mu       sync.Mutex
+	sw       WorkerSwitch
+	token    worker.Token
+	leaseEnd time.Time
+	lease    *time.Timer
+	boot     int64
+	version  uint64
+	changed  chan struct{}
+	running  map[worker.Attempt]*fakeTask
+	finished map[worker.Attempt]worker.Finished
+	runs     []*Run
+	over     int // starts that exceeded the capacity
+}
+
+type fakeTask struct {
+	req   worker.StartRequest
+	start time.Time
+	runMs int64
+	timer *time.Timer
+	run   *Run
+}
+
+// StartFleet starts the workers on cfg.Addr.
+func StartFleet(cfg FleetConfig) (f *Fleet, err error) {
+	defer fault.Note(&err, "start worker stand-in")
+	f = &Fleet{workers: map[string]*fakeWorker{}}
+	f.srv, err = httpd.Listen(httpd.Config{Name: "fleet", Addr: cfg.Addr, Routes: []rest.Route{
+		post("/w/:id/start", f.handler((*fakeWorker).start)),
+		post("/w/:id/renew", f.handler((*fakeWorker).renew)),
+		post("/w/:id/stop", f.handler((*fakeWorker).stop)),
+		post("/w/:id/throttle", f.handler((*fakeWorker).throttle)),
+		get("/hosts", func(w http.ResponseWriter, _ *http.Request) {
+			httpd.WriteJSON(w, hosts.List{Workers: f.List()})
+		}),
+		get("/runs", func(w http.ResponseWriter, _ *http.Request) { httpd.WriteJSON(w, f.Runs()) }),
+		switchRoute(f.Set),
+	}})
+	if err != nil {
+		return nil, err
+	}
+	for _, h := range cfg.Workers {
+		h.URL = f.srv.URL() + "/w/" + h.ID
+		if h.State == "" {
+			h.State = hosts.Live
+		}
+		f.order = append(f.order, h.ID)
+		f.workers[h.ID] = &fakeWorker{
+			host: h, boot: nowMs(), changed: make(chan struct{}),
+			running:  map[worker.Attempt]*fakeTask{},
+			finished: map[worker.Attempt]worker.Finished{},
+		}
+	}
+	go func() { _ = f.srv.Serve() }()
+	return f, nil
+}
+
+// URL returns the base URL under which the fleet serves its host list.
+func (f *Fleet) URL() string { return f.srv.URL() }
+
+// Close stops all workers at once.
+func (f *Fleet) Close() { f.srv.Close() }
+
+// List returns the fleet's part of the host list.
+func (f *Fleet) List() []hosts.Worker {
+	var l []hosts.Worker
+	for _, id := range f.order {
+		w := f.workers[id]
+		w.mu.Lock()
+		h := w.host
+		w.mu.Unlock()
+		l = append(l, h)
+	}
+	return l
+}
+
+// Runs returns what all workers recorded.
+func (f *Fleet) Runs() []Run {
+	runs := []Run{}
+	for _, id := range f.order {
+		w := f.workers[id]
+		w.mu.Lock()
+		for _, r := range w.runs {
+			runs = append(runs, *r)
+		}
+		w.mu.Unlock()
+	}
+	return runs
+}
+
+// Overcommits returns how many starts exceeded a worker's capacity.
+func (f *Fleet) Overcommits() int {
+	n := 0
+	for _, w := range f.workers {
+		w.mu.Lock()
+		n += w.over
+		w.mu.Unlock()
+	}
+	return n
+}
+
+// Set throws the switches of one worker. An unknown worker is ignored.
+func (f *Fleet) Set(s WorkerSwitch) {
+	w := f.workers[s.Worker]
+	if w == nil {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.sw = s
+	if s.State != "" {
+		w.host.State = s.State
+	}
+	if s.Dead {
+		for a := range w.running {
+			w.end(a, worker.EndLapsed)
+		}
+		clear(w.finished)
+		w.boot++
+		w.token = worker.Token{}
+	}
+	w.bump()
+}
+
+// pausePoll is how often a request to a paused worker looks whether it may go on.
+const pausePoll = 20 * time.Millisecond
+
+// handler finds the worker and lets its pause and death apply.
+func (f *Fleet) handler(h func(*fakeWorker, http.ResponseWriter, *http.Request)) http.HandlerFunc {
+	return func(rw http.ResponseWriter, r *http.Request) {
+		w := f.workers[pathvar.Vars(r)["id"]]
+		if w == nil {
+			httpd.WriteError(rw, fault.New(fault.NotFound, fault.NotRun, "no worker %q", pathvar.Vars(r)["id"]))
+			return
+		}
+		for w.paused() {
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(pausePoll):
+			}
+		}
+		if w.dead() {
+			hangUp(rw)
+			return
+		}
+		h(w, rw, r)
+	}
+}
+
+func (w *fakeWorker) paused() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sw.Paused
+}
+
+func (w *fakeWorker) dead() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sw.Dead
+}
+
+// bump wakes the renewals that wait for a change; the caller holds the lock.
+func (w *fakeWorker) bump() {
+	w.version++
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// accepts checks a fencing token and raises the worker's own; the caller holds
+// the lock.
+func (w *fakeWorker) accepts(t worker.Token) error {
+	if t.Epoch < w.token.Epoch {
+		return fault.New(fault.Conflict, fault.NotRun, "epoch %d is older than %d", t.Epoch, w.token.Epoch)
+	}
+	if t.Epoch > w.token.Epoch {
+		w.token = worker.Token{Epoch: t.Epoch}
+	}
+	return nil
+}
+
+func (w *fakeWorker) start(rw http.ResponseWriter, r *http.Request) {
+	req, err := httpd.ReadJSON[worker.StartRequest](r, httpd.MaxBodyBytes)
+	if err != nil {
+		httpd.WriteError(rw, err)
+		return
+	}
+	lose, err := w.startTask(req)
+	switch {
+	case lose:
+		hangUp(rw)
+	case err != nil:
+		httpd.WriteError(rw, err)
+	default:
+		httpd.WriteJSON(rw, struct{}{})
+	}
+}
+
+func (w *fakeWorker) startTask(req worker.StartRequest) (loseAnswer bool, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.accepts(req.Token); err != nil {
+		return false, err
+	}
+	if req.Token.Seq < w.token.Seq {
+		return false, fault.New(fault.Conflict, fault.NotRun, "sequence %d is below the floor %d", req.Token.Seq, w.token.Seq)
+	}
+	if time.Now().After(w.leaseEnd) {
+		return false, fault.New(fault.Conflict, fault.NotRun, "worker %q has no lease", w.host.ID)
+	}
+	if _, ok := w.running[req.Attempt]; ok {
+		return false, nil
+	}
+	w.run(req)
+	if w.sw.LoseStart > 0 {
+		w.sw.LoseStart--
+		return true, nil
+	}
+	return false, nil
+}
+
+// run starts the task. It does so even on a full worker, and counts it, because
+// the judge has to see a scheduler that overcommits.
+func (w *fakeWorker) run(req worker.StartRequest) {
+	var cpu, mem, accel int64
+	for _, t := range w.running {
+		cpu, mem, accel = cpu+t.req.CPU, mem+t.req.Mem, accel+t.req.Accel
+	}
+	if cpu+req.CPU > w.host.CPU || mem+req.Mem > w.host.Mem || accel+req.Accel > w.host.Accel {
+		w.over++
+	}
+	t := &fakeTask{req: req, start: time.Now(), runMs: remaining(req)}
+	t.run = &Run{
+		Worker: w.host.ID, Az: w.host.Az, Task: req.Attempt.Task, Attempt: req.Attempt.Number, Class: req.Class,
+		StartMs: nowMs(), CPU: req.CPU, Mem: req.Mem, Accel: req.Accel,
+	}
+	w.runs = append(w.runs, t.run)
+	w.running[req.Attempt] = t
+	end, after := worker.EndOK, time.Duration(t.runMs)*time.Millisecond
+	if w.sw.FailAll || strings.HasPrefix(req.Payload, "fail") {
+		end, after = worker.EndFailed, time.Millisecond
+	}
+	if t.runMs > 0 || end == worker.EndFailed {
+		t.timer = time.AfterFunc(after, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			if w.running[req.Attempt] == t {
+				w.end(req.Attempt, end)
+				w.bump()
+			}
+		})
+	}
+	w.bump()
+}
+
+const checkpointPrefix = "remainingMs="
+
+// remaining returns how long the task still runs, from its checkpoint if it
+// has one.
+func remaining(req worker.StartRequest) int64 {
+	if v, ok := strings.CutPrefix(req.Checkpoint, checkpointPrefix); ok {
+		if ms, err := strconv.ParseInt(v, 10, 64); err == nil {
+			return ms
+		}
+	}
+	return req.RunMs
+}
+
+// end moves an attempt from running to finished; the caller holds the lock.
+func (w *fakeWorker) end(a worker.Attempt, end worker.End) {
+	t := w.running[a]
+	if t == nil {
+		return
+	}
+	if t.timer != nil {
+		t.timer.Stop()
+	}
+	delete(w.running, a)
+	t.run.EndMs, t.run.End = nowMs(), end
+	fin := worker.Finished{Attempt: a, Home: t.req.Home, End: end}
+	switch end {
+	case worker.EndOK:
+		fin.Result = "done " + a.Task
+	case worker.EndCheckpointed:
+		left := max(t.runMs-time.Since(t.start).Milliseconds(), 1)
+		if t.runMs == 0 {
+			left = 0
+		}
+		fin.Checkpoint = fmt.Sprintf("%s%d", checkpointPrefix, left)
+	}
+	w.finished[a] = fin
+}
+
+func (w *fakeWorker) renew(rw http.ResponseWriter, r *http.Request) {
+	req, err := httpd.ReadJSON[worker.RenewRequest](r, httpd.MaxBodyBytes)
+	if err != nil {
+		httpd.WriteError(rw, err)
+		return
+	}
+	changed, err := w.extend(req)
+	if err != nil {
+		httpd.WriteError(rw, err)
+		return
+	}
+	deadline := time.After(time.Duration(req.WaitMs) * time.Millisecond)
+	for {
+		inv, next := w.inventory()
+		if inv.Version != req.Since || changed == nil {
+			httpd.WriteJSON(rw, inv)
+			return
+		}
+		changed = next
+		select {
+		case <-changed:
+		case <-deadline:
+			changed = nil
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (w *fakeWorker) extend(req worker.RenewRequest) (<-chan struct{}, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.accepts(req.Token); err != nil {
+		return nil, err
+	}
+	w.token.Seq = max(w.token.Seq, req.Token.Seq)
+	for _, a := range req.Forget {
+		delete(w.finished, a)
+	}
+	if req.TTLMs > 0 {
+		w.extendLease(time.Duration(req.TTLMs) * time.Millisecond)
+	}
+	return w.changed, nil
+}
+
+func (w *fakeWorker) extendLease(ttl time.Duration) {
+	w.leaseEnd = time.Now().Add(ttl)
+	if w.lease != nil {
+		w.lease.Stop()
+	}
+	w.lease = time.AfterFunc(ttl, w.lapse)
+}
+
+// lapse stops every task, because nobody has extended the lease.
+func (w *fakeWorker) lapse() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if time.Now().Before(w.leaseEnd) || len(w.running) == 0 {
+		return
+	}
+	for a := range w.running {
+		w.end(a, worker.EndLapsed)
+	}
+	w.bump()
+}
+
+func (w *fakeWorker) inventory() (worker.Inventory, <-chan struct{}) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	inv := worker.Inventory{Boot: w.boot, Version: w.version, Running: []worker.Running{}, Finished: []worker.Finished{}}
+	for a, t := range w.running {
+		inv.Running = append(inv.Running, worker.Running{
+			Attempt: a, Home: t.req.Home, Family: t.req.Family, Class: t.req.Class,
+			CPU: t.req.CPU, Mem: t.req.Mem, Accel: t.req.Accel,
+			UsedCPU: t.req.CPU, UsedMem: t.req.Mem,
+		})
+	}
+	for _, fin := range w.finished {
+		inv.Finished = append(inv.Finished, fin)
+	}
+	return inv, w.changed
+}
+
+func (w *fakeWorker) stop(rw http.ResponseWriter, r *http.Request) {
+	req, err := httpd.ReadJSON[worker.StopRequest](r, maxSwitchBytes)
+	if err != nil {
+		httpd.WriteError(rw, err)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.accepts(req.Token); err != nil {
+		httpd.WriteError(rw, err)
+		return
+	}
+	end := worker.EndStopped
+	if req.Checkpoint {
+		end = worker.EndCheckpointed
+	}
+	w.end(req.Attempt, end)
+	w.bump()
+	httpd.WriteJSON(rw, struct{}{})
+}
+
+func (w *fakeWorker) throttle(rw http.ResponseWriter, r *http.Request) {
+	req, err := httpd.ReadJSON[worker.ThrottleRequest](r, maxSwitchBytes)
+	if err != nil {
+		httpd.WriteError(rw, err)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err := w.accepts(req.Token); err != nil {
+		httpd.WriteError(rw, err)
+		return
+	}
+	httpd.WriteJSON(rw, struct{}{})
+}
--- /dev/null
+++ b/internal/plat/hosts/hosts.go
@@ -0,0 +1,118 @@
+// Package hosts is the adapter to the platform's list of live and leaving
+// hosts. The list lags behind the truth by seconds, so it is used to find
+// hosts and to stop using them, never to conclude that one has ended its work.
+//
+// # Usage
+//
+//	l := hosts.NewClient(hosts.ClientConfig{URLs: []string{"http://10.0.0.9:7100"}})
+//	list, err := l.List(ctx)
+package hosts
+
+import (
+	"context"
+	"net/http"
+	"sort"
+	"time"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/httpd"
+)
+
+// State is what the platform says about a host.
+type State string
+
+// The states. A host that is absent from the list is gone.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Worker describes a worker. CPU is in millicores and Mem in MiB.
+type Worker struct {
+	ID    string `json:"id"`
+	Az    string `json:"az"`
+	Rack  string `json:"rack"`
+	URL   string `json:"url"`
+	CPU   int64  `json:"cpu"`
+	Mem   int64  `json:"mem"`
+	Accel int64  `json:"accel"`
+	State State  `json:"state"`
+}
+
+// Target describes an executor of a service.
+type Target struct {
+	ID      string `json:"id"`
+	Service string `json:"service"`
+	Az      string `json:"az"`
+	Rack    string `json:"rack"`
+	URL     string `json:"url"`
+	Slots   int    `json:"slots"`
+	Conns   int    `json:"conns"`
+	State   State  `json:"state"`
+}
+
+// List is the content of the host list, sorted by id.
+type List struct {
+	Workers []Worker `json:"workers"`
+	Targets []Target `json:"targets"`
+}
+
+// Lister reads the host list.
+type Lister interface {
+	List(ctx context.Context) (List, error)
+}
+
+// ClientConfig describes a Client.
+type ClientConfig struct {
+	URLs    []string      // each serves a part of the list at /hosts
+	Timeout time.Duration // for one request; 0 means 1 s
+}
+
+const defaultTimeout = time.Second
+
+// Client is a Lister over HTTP. It remembers the last answer of each part, so
+// a part that does not answer keeps the hosts that it listed last.
+type Client struct {
+	cfg  ClientConfig
+	last []List
+}
+
+var _ Lister = (*Client)(nil)
+
+// NewClient returns a client that merges the lists at cfg.URLs.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Timeout == 0 {
+		cfg.Timeout = defaultTimeout
+	}
+	return &Client{cfg: cfg, last: make([]List, len(cfg.URLs))}
+}
+
+// List returns the merged list. It fails only if no part answered.
+func (c *Client) List(ctx context.Context) (l List, err error) {
+	defer fault.Note(&err, "read host list")
+	answered := 0
+	var firstErr error
+	for i, u := range c.cfg.URLs {
+		part, err := c.part(ctx, u)
+		if err == nil {
+			answered++
+			c.last[i] = part
+		} else if firstErr == nil {
+			firstErr = err
+		}
+		l.Workers = append(l.Workers, c.last[i].Workers...)
+		l.Targets = append(l.Targets, c.last[i].Targets...)
+	}
+	if answered == 0 {
+		return List{}, firstErr
+	}
+	sort.Slice(l.Workers, func(i, j int) bool { return l.Workers[i].ID < l.Workers[j].ID })
+	sort.Slice(l.Targets, func(i, j int) bool { return l.Targets[i].ID < l.Targets[j].ID })
+	return l, nil
+}
+
+func (c *Client) part(ctx context.Context, url string) (List, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout)
+	defer cancel()
+	return httpd.Exchange[List](ctx, http.MethodGet, url+"/hosts", nil)
+}
--- /dev/null
+++ b/internal/plat/target/target.go
@@ -0,0 +1,162 @@
+// Package target is the adapter to a service's targets, the executors that
+// answer short calls.
+//
+// An executor may answer late, answer another request than the one that was
+// sent, or cut an answer off. The client accepts an answer only if it repeats
+// the request's id and carries the length and checksum of its whole body.
+// Everything else closes the connection and is an error. Once a request has
+// been handed to a connection its outcome is Unknown, unless the executor
+// itself says that it did not run.
+//
+// # Usage
+//
+//	t := target.NewClient(target.ClientConfig{ID: "exec-7", URL: "http://10.0.5.7:9100", Conns: 10})
+//	answer, err := t.Call(ctx, target.Request{ID: "r-81", Service: "triage", Body: body})
+package target
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/zeromicro/go-zero/core/breaker"
+	"github.com/zeromicro/go-zero/rest/httpc"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/httpd"
+)
+
+// Header names of the executors' protocol.
+const (
+	HeaderID       = "X-Request-Id"
+	HeaderChecksum = "X-Body-Checksum" // xxhash64 of the body, in hexadecimal
+)
+
+// MaxBodyBytes bounds the body of a request and of an answer.
+const MaxBodyBytes = 4 << 20
+
+// Request is one call.
+type Request struct {
+	ID      string // unique in the fleet; the answer repeats it
+	Service string
+	Body    []byte
+}
+
+// Answer is the whole answer to one call.
+type Answer struct {
+	Body   []byte
+	Status int // HTTP status that the service chose, below 500
+}
+
+// Target is one executor. Errors are *fault.Error.
+type Target interface {
+	Call(ctx context.Context, req Request) (Answer, error)
+}
+
+// ClientConfig describes a Client.
+type ClientConfig struct {
+	ID    string // names the circuit breaker
+	URL   string
+	Conns int // connections that this client may hold open; 0 means 8
+}
+
+const (
+	defaultConns = 8
+	idleTimeout  = 30 * time.Second
+)
+
+// Client is a Target over HTTP with a circuit breaker of its own.
+type Client struct {
+	cfg       ClientConfig
+	transport *http.Transport
+	service   httpc.Service
+}
+
+var _ Target = (*Client)(nil)
+
+// NewClient returns a client of the executor at cfg.URL.
+func NewClient(cfg ClientConfig) *Client {
+	if cfg.Conns == 0 {
+		cfg.Conns = defaultConns
+	}
+	t := &http.Transport{
+		MaxConnsPerHost: cfg.Conns, MaxIdleConnsPerHost: cfg.Conns,
+		IdleConnTimeout: idleTimeout, DisableCompression: true,
+	}
+	return &Client{
+		cfg:       cfg,
+		transport: t,
+		service:   httpc.NewServiceWithClient(cfg.ID, &http.Client{Transport: t}),
+	}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+// Checksum returns the value of HeaderChecksum for a body.
+func Checksum(body []byte) string { return strconv.FormatUint(xxhash.Sum64(body), 16) }
+
+// Call sends one request and returns its whole answer.
+func (c *Client) Call(ctx context.Context, req Request) (a Answer, err error) {
+	defer fault.Note(&err, "call target %q", c.cfg.ID)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.cfg.URL+"/call/"+req.Service, bytes.NewReader(req.Body))
+	if err != nil {
+		return a, fault.New(fault.Internal, fault.NotRun, "%v", err)
+	}
+	// Without GetBody the transport cannot send the request a second time on
+	// its own when a reused connection breaks.
+	r.GetBody = nil
+	r.Header.Set(HeaderID, req.ID)
+	r.Header.Set(HeaderChecksum, Checksum(req.Body))
+	r, connected := httpd.Traced(r)
+	resp, err := c.service.DoRequest(r)
+	if errors.Is(err, breaker.ErrServiceUnavailable) {
+		return a, fault.New(fault.Unavailable, fault.NotRun, "%v", err)
+	}
+	if err != nil {
+		return a, httpd.TransportError(err, *connected)
+	}
+	defer resp.Body.Close()
+	return c.read(resp, req.ID)
+}
+
+// read checks that resp is the whole answer to the request id. An answer to
+// another request is left unread, which makes the transport close its
+// connection.
+func (c *Client) read(resp *http.Response, id string) (a Answer, err error) {
+	if got := resp.Header.Get(HeaderID); got != id {
+		c.transport.CloseIdleConnections()
+		return a, fault.New(fault.BadAnswer, fault.Unknown, "answer is for request %q, not %q", got, id)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, MaxBodyBytes+1))
+	if err != nil {
+		return a, fault.New(fault.BadAnswer, fault.Unknown, "answer ends early: %v", err)
+	}
+	if len(body) > MaxBodyBytes {
+		return a, fault.New(fault.BadAnswer, fault.Unknown, "answer is longer than %d bytes", MaxBodyBytes)
+	}
+	if got, want := resp.Header.Get(HeaderChecksum), Checksum(body); got != want {
+		return a, fault.New(fault.BadAnswer, fault.Unknown, "answer has checksum %q instead of %q", want, got)
+	}
+	if resp.StatusCode >= http.StatusInternalServerError {
+		return a, refusal(resp.StatusCode, body)
+	}
+	return Answer{Body: body, Status: resp.StatusCode}, nil
+}
+
+// refusal turns an executor's error answer into an error with the outcome that
+// the executor states.
+func refusal(status int, body []byte) error {
+	var e fault.Error
+	if err := json.Unmarshal(body, &e); err == nil && e.Ran == fault.NotRun {
+		e.Code = fault.Unavailable
+		return &e
+	}
+	return fault.New(fault.BadAnswer, fault.Unknown, "executor answered with status %d", status)
+}
--- /dev/null
+++ b/internal/tool/cmds/operate.go
@@ -0,0 +1,289 @@
+package cmds
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"slices"
+	"sort"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"lagooncourse/internal/cell/config"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/node/entry"
+)
+
+// edit are the flags of commands that change the configuration.
+type edit struct {
+	f    *flags
+	base int64
+	id   string
+	by   string
+}
+
+func (e *edit) add(cmd *cobra.Command) *cobra.Command {
+	cmd.Flags().Int64Var(&e.base, "base", -1, "version that the edit is based on; the present one by default")
+	cmd.Flags().StringVar(&e.id, "edit", "", "id of the edit, to repeat one without harm")
+	cmd.Flags().StringVar(&e.by, "by", "operator", "who makes the edit")
+	return cmd
+}
+
+// apply sends the edit and prints its result.
+func (e *edit) apply(cmd *cobra.Command, ed config.Edit) error {
+	ctx := cmd.Context()
+	c := e.f.client()
+	ed.ID, ed.By, ed.Base = e.id, e.by, config.Version(e.base)
+	if e.base < 0 {
+		conf, err := c.Config(ctx)
+		if err != nil {
+			return err
+		}
+		ed.Base = versionIn(conf, ed.Object())
+	}
+	res, err := c.Edit(ctx, ed)
+	if err != nil {
+		return err
+	}
+	if e.f.json {
+		return printJSON(cmd.OutOrStdout(), res)
+	}
+	_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s accepted at offset %d, version %d\n", ed.Object(), res.Offset, res.Version)
+	return err
+}
+
+func versionIn(c entry.ConfigAnswer, object string) config.Version {
+	s := config.State{Plans: c.Plans, Allows: c.Allows, Keys: c.Keys, Azs: c.Azs}
+	return s.VersionOf(object)
+}
+
+// list returns a command that prints a part of the configuration.
+func list(f *flags, short string, show func(io.Writer, entry.ConfigAnswer)) *cobra.Command {
+	return &cobra.Command{
+		Use: "list", Short: short, Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := f.client().Config(cmd.Context())
+			if err != nil {
+				return err
+			}
+			if f.json {
+				return printJSON(cmd.OutOrStdout(), c)
+			}
+			show(cmd.OutOrStdout(), c)
+			return nil
+		},
+	}
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	sort.Strings(keys)
+	return keys
+}
+
+func newPlan(f *flags) *cobra.Command {
+	plan := &cobra.Command{Use: "plan", Short: "Customer plans of teams"}
+	var share, accel int64
+	var cpu float64
+	var memory string
+	e := &edit{f: f}
+	set := func(use, short string) *cobra.Command {
+		cmd := e.add(&cobra.Command{
+			Use: use + " TEAM", Short: short, Args: exactly(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				mem, err := parseMemory(memory)
+				if err != nil {
+					return err
+				}
+				limit := jobs.Size{CPU: int64(cpu * millis), Mem: mem, Accel: accel}
+				if use == "create" {
+					e.base = 0
+				}
+				return e.apply(cmd, config.Edit{Kind: config.SetPlan, Name: args[0], Share: share, Limit: limit})
+			},
+		})
+		cmd.Flags().Int64Var(&share, "share", 1, "weight when the fleet is full")
+		cmd.Flags().Float64Var(&cpu, "cpu", 0, "upper limit in cores")
+		cmd.Flags().StringVar(&memory, "memory", "", `upper limit, such as "64GiB"; none by default`)
+		cmd.Flags().Int64Var(&accel, "accelerators", 0, "upper limit in devices")
+		return cmd
+	}
+	plan.AddCommand(set("create", "Create a plan"), set("set", "Change a plan"))
+	plan.AddCommand(e.add(&cobra.Command{
+		Use: "delete TEAM", Short: "Delete a plan", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return e.apply(cmd, config.Edit{Kind: config.DeletePlan, Name: args[0]})
+		},
+	}))
+	plan.AddCommand(list(f, "List the plans", func(w io.Writer, c entry.ConfigAnswer) {
+		for _, team := range sortedKeys(c.Plans) {
+			if p := c.Plans[team]; !p.Deleted {
+				fmt.Fprintf(w, "%-20s share %-5d limit %s (version %d)\n", team, p.Share, p.Limit, p.Version)
+			}
+		}
+	}))
+	return plan
+}
+
+const (
+	millis = 1000
+	mibKiB = 1024
+)
+
+// parseMemory parses a size such as "512MiB" or "64GiB" into MiB. No size
+// means no limit.
+func parseMemory(s string) (int64, error) {
+	if s == "" {
+		return jobs.Unlimited, nil
+	}
+	units := []struct {
+		suffix string
+		mib    int64
+	}{{"MiB", 1}, {"GiB", mibKiB}, {"TiB", mibKiB * mibKiB}}
+	for _, u := range units {
+		text, ok := strings.CutSuffix(s, u.suffix)
+		if !ok {
+			continue
+		}
+		var n int64
+		if _, err := fmt.Sscanf(text, "%d", &n); err == nil && n >= 0 && fmt.Sprint(n) == text && n < jobs.Unlimited/u.mib {
+			return n * u.mib, nil
+		}
+	}
+	return 0, fmt.Errorf("%w: memory %q must be a whole number with MiB, GiB or TiB", errUsage, s)
+}
+
+func newAllow(f *flags) *cobra.Command {
+	allow := &cobra.Command{Use: "allow", Short: "The list of what a plan may use"}
+	e := &edit{f: f}
+	change := func(use, short string, kind config.Kind) *cobra.Command {
+		return e.add(&cobra.Command{
+			Use: use + " TEAM KIND:NAME...", Short: short,
+			Args: func(cmd *cobra.Command, args []string) error {
+				if len(args) < 2 {
+					return fmt.Errorf("%w: %q takes a team and at least one item", errUsage, cmd.CommandPath())
+				}
+				return nil
+			},
+			RunE: func(cmd *cobra.Command, args []string) error {
+				return e.apply(cmd, config.Edit{Kind: kind, Name: args[0], Items: args[1:]})
+			},
+		})
+	}
+	allow.AddCommand(
+		change("add", "Add items such as queue:deep, service:triage or az:west", config.AddAllow),
+		change("remove", "Remove items", config.RemoveAllow),
+		list(f, "List what each plan may use", func(w io.Writer, c entry.ConfigAnswer) {
+			for _, team := range sortedKeys(c.Allows) {
+				fmt.Fprintf(w, "%-20s %s (version %d)\n", team, strings.Join(c.Allows[team].Items, " "), c.Allows[team].Version)
+			}
+		}),
+	)
+	return allow
+}
+
+func newKey(f *flags) *cobra.Command {
+	key := &cobra.Command{Use: "key", Short: "Keys of teams"}
+	e := &edit{f: f}
+	key.AddCommand(e.add(&cobra.Command{
+		Use: "give TEAM", Short: "Give a team a new key; it is shown once", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			id, secret := strings.ToLower(rand.Text()[:10]), rand.Text()
+			e.base = 0
+			err := e.apply(cmd, config.Edit{Kind: config.GiveKey, Name: id, Team: args[0], Secret: config.HashSecret(secret)})
+			if err != nil {
+				return err
+			}
+			_, err = fmt.Fprintf(cmd.OutOrStdout(), "%s.%s\n", id, secret)
+			return err
+		},
+	}))
+	key.AddCommand(e.add(&cobra.Command{
+		Use: "withdraw ID", Short: "Withdraw a key", Args: exactly(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			return e.apply(cmd, config.Edit{Kind: config.WithdrawKey, Name: args[0]})
+		},
+	}))
+	key.AddCommand(list(f, "List the keys, without their secrets", func(w io.Writer, c entry.ConfigAnswer) {
+		for _, id := range sortedKeys(c.Keys) {
+			k := c.Keys[id]
+			state := "given"
+			if k.Withdrawn {
+				state = "withdrawn"
+			}
+			fmt.Fprintf(w, "%-12s %-20s %s (version %d)\n", id, k.Team, state, k.Version)
+		}
+	}))
+	return key
+}
+
+func newAz(f *flags) *cobra.Command {
+	az := &cobra.Command{Use: "az", Short: "Availability zones"}
+	e := &edit{f: f}
+	change := func(use, short string, kind config.Kind) *cobra.Command {
+		return e.add(&cobra.Command{
+			Use: use + " AZ", Short: short, Args: exactly(1),
+			RunE: func(cmd *cobra.Command, args []string) error {
+				return e.apply(cmd, config.Edit{Kind: kind, Name: args[0]})
+			},
+		})
+	}
+	az.AddCommand(
+		change("out", "Take an availability zone out of service", config.AzOut),
+		change("back", "Bring an availability zone back", config.AzBack),
+		list(f, "List the availability zones that were ever taken out", func(w io.Writer, c entry.ConfigAnswer) {
+			for _, name := range sortedKeys(c.Azs) {
+				state := "in service"
+				if c.Azs[name].Out {
+					state = "out of service"
+				}
+				fmt.Fprintf(w, "%-20s %s (version %d)\n", name, state, c.Azs[name].Version)
+			}
+		}),
+	)
+	return az
+}
+
+func newTask(f *flags) *cobra.Command {
+	task := &cobra.Command{Use: "task", Short: "Tasks whose outcome is unknown"}
+	task.AddCommand(&cobra.Command{
+		Use: "settle JOB/INDEX done|failed|rerun", Short: "Decide what became of a parked task", Args: exactly(2),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			action := jobs.Action(args[1])
+			if !slices.Contains(jobs.Actions, action) {
+				return fmt.Errorf("%w: action %q must be one of %v", errUsage, args[1], jobs.Actions)
+			}
+			a, err := f.client().Settle(cmd.Context(), args[0], action)
+			if err != nil {
+				return err
+			}
+			return showJob(cmd, f, a)
+		},
+	})
+	return task
+}
+
+func newDump(f *flags) *cobra.Command {
+	return &cobra.Command{
+		Use: "dump", Short: "Print the state of an entry host as JSON", Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			d, err := f.client().Dump(contextOf(cmd))
+			if err != nil {
+				return err
+			}
+			return printJSON(cmd.OutOrStdout(), d)
+		},
+	}
+}
+
+func contextOf(cmd *cobra.Command) context.Context {
+	if ctx := cmd.Context(); ctx != nil {
+		return ctx
+	}
+	return context.Background()
+}
