Run scenarios in one process and judge the promises

Cause: nobody could see the system at work, or judge it by what the platform recorded.

It also adds eviction of batch for urgent work and rebalancing for teams below their share, which the scenarios need when the fleet is full.

--- a/internal/cell/books/books.go
+++ b/internal/cell/books/books.go
@@ -15,7 +15,7 @@
 //
 //	b := books.New()
 //	b.SetWorkers(list)
-//	site, ok := b.Reserve(books.Ask{Attempt: a, Size: size, UntilMs: nowMs + 2000})
+//	site, ok := b.Reserve(books.Ask{Attempt: a, Size: size, UntilMs: nowMs + 2000}, nowMs)
 //	seq, ok := b.Begin(a)             // before the start request is sent
 //	reports := b.Inventory(worker, inventory) // after every renewal
 package books
@@ -67,10 +67,12 @@
 type account struct {
 	Worker
 	used     jobs.Size
-	ready    bool  // its inventory has been seen
-	lost     bool  // its lease has run out since the books were opened
-	boot     int64 // from its newest inventory
-	held     bool  // closed to new work by quarantine
+	ready    bool    // its inventory has been seen
+	lost     bool    // its lease has run out since the books were opened
+	boot     int64   // from its newest inventory
+	held     bool    // closed to new work by quarantine
+	savedFor Attempt // the only attempt for which room is reserved until savedMs
+	savedMs  int64
 	attempts map[Attempt]*entry
 }
 
@@ -178,7 +180,7 @@
 // Reserve books room on the worker that the policy prefers and returns it. A
 // repeated ask for an attempt returns the same worker. Nothing is booked for
 // an attempt that was denied.
-func (b *Books) Reserve(ask Ask) (slot Slot, ok bool) {
+func (b *Books) Reserve(ask Ask, nowMs int64) (slot Slot, ok bool) {
 	if a, e := b.find(ask.Attempt); e != nil {
 		e.untilMs = max(e.untilMs, ask.UntilMs)
 		return Slot{Worker: a.ID, Boot: a.boot}, e.phase == reserved
@@ -186,7 +188,7 @@
 	if b.denied[ask.Attempt] {
 		return Slot{}, false
 	}
-	a := b.choose(ask)
+	a := b.choose(ask, nowMs)
 	if a == nil {
 		return Slot{}, false
 	}
@@ -199,12 +201,12 @@
 // choose returns the best open worker with room, or nil. Services go where
 // most is free, so that they spread; everything else goes where least is left
 // over, so that large holes stay whole.
-func (b *Books) choose(ask Ask) *account {
+func (b *Books) choose(ask Ask, nowMs int64) *account {
 	var best *account
 	var bestScore float64
 	for _, id := range b.order {
 		a := b.workers[id]
-		if !a.open() || !ask.Size.Fits(a.room()) || contains(ask.Avoid, id) {
+		if !a.open() || !ask.Size.Fits(a.room()) || contains(ask.Avoid, id) || a.savedFromOthers(ask.Attempt, nowMs) {
 			continue
 		}
 		left := a.room().Minus(ask.Size)
@@ -226,6 +228,12 @@
 // that needs none. It outweighs every fill level.
 const scarceDevices = 1.0
 
+// savedFromOthers reports whether the worker's room is kept for an attempt
+// other than at.
+func (a *account) savedFromOthers(at Attempt, nowMs int64) bool {
+	return nowMs < a.savedMs && a.savedFor != at
+}
+
 func (a *account) open() bool      { return a.ready && !a.held && !a.Leaving }
 func (a *account) room() jobs.Size { return a.Cap.Minus(a.used) }
 
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -149,6 +149,8 @@
 	Takeover int64 `json:"takeovers"`
 	Fenced   int64 `json:"fenced"`
 	Unsure   int64 `json:"unsureStarts"`
+	Evicted  int64 `json:"evicted"`    // batch tasks stopped for urgent work
+	Balanced int64 `json:"rebalanced"` // tasks stopped for teams below their share
 }
 
 // proposal is a number of records that are committed together or not at all.
@@ -233,7 +235,10 @@
 	for team, used := range g.state.Used {
 		d.Used[team] = used
 	}
-	d.Wanting = g.grants.wanting(g.cfg.Clock.Now())
+	d.Wanting, d.Waiting = g.grants.wanting(g.cfg.Clock.Now()), map[string]jobs.Size{}
+	for team, size := range g.queue.Demand() {
+		d.Waiting[team] = size
+	}
 	return d, true
 }
 
--- a/internal/node/owner/home.go
+++ b/internal/node/owner/home.go
@@ -196,8 +196,8 @@
 }
 
 // stopUnwanted asks for the end of attempts that should not run: those of
-// cancelled jobs, those of gangs that have lost a task, and those above a
-// limit that was lowered.
+// cancelled jobs, those of gangs that have lost a task, those above a limit that
+// was lowered, and those of teams above their share while others starve.
 func (g *Group) stopUnwanted(ctx context.Context) {
 	for _, msg := range g.unwanted() {
 		go func() {
@@ -219,6 +219,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	over := g.overLimit()
+	for ref := range g.overShare() {
+		over[ref] = true
+	}
 	var list []wire.StopMsg
 	g.eachPlaced(func(ref jobs.Ref, t jobs.Task) {
 		j := g.state.Jobs[ref.Job]
--- a/internal/node/owner/keep.go
+++ b/internal/node/owner/keep.go
@@ -260,7 +260,7 @@
 	for i := range msg.Asks {
 		msg.Asks[i].UntilMs = until
 	}
-	slots, ok := reserveAll(g.books, msg.Asks)
+	slots, ok := reserveAll(g.books, msg.Asks, g.nowMs())
 	if !ok {
 		return a, fault.New(fault.Overload, fault.NotRun, "group %q has no room", g.cfg.Name)
 	}
--- a/internal/node/owner/place.go
+++ b/internal/node/owner/place.go
@@ -109,7 +109,8 @@
 // tried elsewhere. The caller holds the lock.
 func (g *Group) pass() []*plan {
 	cell := g.cfg.Cell.State()
-	p := g.queue.Pass(g.view(cell))
+	view, _ := g.view(cell)
+	p := g.queue.Pass(view)
 	var remote []*plan
 	for range maxPassItems {
 		it, ok := p.Next()
@@ -134,6 +135,7 @@
 			p.Blocked(it)
 		default:
 			g.explain(it.Ref.Job, "no worker of the group has room for "+it.Size.String())
+			g.evict(pl, cell)
 			p.Blocked(it)
 		}
 	}
@@ -145,9 +147,14 @@
 	return !cell.AzOut(g.cfg.Az) && (it.Az == "" || it.Az == g.cfg.Az)
 }
 
-// view collects what the policy needs to know. The caller holds the lock.
-func (g *Group) view(cell *config.State) queue.View {
-	v := queue.View{NowMs: g.nowMs(), Used: map[string]jobs.Size{}, Share: map[string]int64{}}
+// view collects what the policy needs to know, and what waits in the whole
+// fleet for each team. The caller holds the lock.
+func (g *Group) view(cell *config.State) (v queue.View, waiting map[string]jobs.Size) {
+	v = queue.View{NowMs: g.nowMs(), Used: map[string]jobs.Size{}, Share: map[string]int64{}}
+	waiting = map[string]jobs.Size{}
+	for team, size := range g.queue.Demand() {
+		waiting[team] = size
+	}
 	for _, d := range g.cfg.Remote.Duties() {
 		if !cell.AzOut(d.Az) {
 			v.Fleet = v.Fleet.Plus(d.Capacity)
@@ -158,6 +165,9 @@
 		for team, used := range d.Used {
 			v.Used[team] = v.Used[team].Plus(used)
 		}
+		for team, size := range d.Waiting {
+			waiting[team] = waiting[team].Plus(size)
+		}
 	}
 	for team, used := range g.state.Used {
 		v.Used[team] = v.Used[team].Plus(used)
@@ -165,7 +175,7 @@
 	for team, plan := range cell.Plans {
 		v.Share[team] = plan.Share
 	}
-	return v
+	return v, waiting
 }
 
 // blockedBy returns why the item cannot start under the team's limit, or "".
@@ -202,7 +212,7 @@
 // reserveOwn reserves room for all attempts on the group's own workers, or for
 // none. The caller holds the lock.
 func (g *Group) reserveOwn(pl *plan) bool {
-	slots, ok := reserveAll(g.books, pl.asks)
+	slots, ok := reserveAll(g.books, pl.asks, g.nowMs())
 	if !ok {
 		return false
 	}
@@ -219,10 +229,10 @@
 }
 
 // reserveAll reserves room for all asks, or for none.
-func reserveAll(b *books.Books, asks []books.Ask) ([]books.Slot, bool) {
+func reserveAll(b *books.Books, asks []books.Ask, nowMs int64) ([]books.Slot, bool) {
 	slots := make([]books.Slot, 0, len(asks))
 	for i, ask := range asks {
-		s, ok := b.Reserve(ask)
+		s, ok := b.Reserve(ask, nowMs)
 		if !ok {
 			for _, done := range asks[:i] {
 				b.Cancel(done.Attempt)
@@ -374,6 +384,7 @@
 	}
 	if !ok {
 		g.abandon(pl, "no group has room for "+pl.item.Size.String())
+		g.evict(pl, g.cfg.Cell.State())
 		return
 	}
 	g.proposeStarts(pl)
--- a/internal/node/wire/wire.go
+++ b/internal/node/wire/wire.go
@@ -76,6 +76,7 @@
 	Largest  jobs.Size            `json:"largest"` // most that one worker has free
 	Used     map[string]jobs.Size `json:"used"`    // team -> placed tasks of the group's own jobs
 	Wanting  []string             `json:"wanting"` // teams that wait for more of their limit
+	Waiting  map[string]jobs.Size `json:"waiting"` // team -> size of what waits
 }
 
 // Pool describes the targets of one service in one group.
--- /dev/null
+++ b/internal/tool/cmds/demo.go
@@ -0,0 +1,73 @@
+package cmds
+
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"lagooncourse/internal/base/logs"
+	"lagooncourse/internal/tool/demo"
+	"lagooncourse/internal/tool/scene"
+)
+
+// errBroken ends a run in which a promise was broken.
+var errBroken = errors.New("a promise was broken")
+
+// defaultScenes are the deployments of today's two users.
+var defaultScenes = []string{"hanbit", "freshwater"}
+
+func newDemo(f *flags) *cobra.Command {
+	var scenes []string
+	var logPath string
+	cmd := &cobra.Command{
+		Use: "demo", Short: "Run scenarios in one process and judge the promises", Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			log := logs.Discard()
+			if logPath != "" {
+				file, err := os.Create(logPath)
+				if err != nil {
+					return err
+				}
+				defer file.Close()
+				log = logs.New(file, "debug")
+			}
+			var reports []*demo.Report
+			for _, name := range scenes {
+				s, err := scene.Load(name)
+				if err != nil {
+					return err
+				}
+				rep, err := demo.Run(contextOf(cmd), demo.Config{Scene: s, Progress: cmd.ErrOrStderr(), Logger: log})
+				if err != nil {
+					return err
+				}
+				reports = append(reports, rep)
+			}
+			return showReports(cmd, f, reports)
+		},
+	}
+	cmd.Flags().StringSliceVar(&scenes, "scenario", defaultScenes, fmt.Sprintf("scenario files, or the shipped %v", scene.Shipped()))
+	cmd.Flags().StringVar(&logPath, "log", "", "write the entry hosts' log to this file")
+	return cmd
+}
+
+func showReports(cmd *cobra.Command, f *flags, reports []*demo.Report) error {
+	broken := false
+	for _, rep := range reports {
+		broken = broken || rep.Broken()
+		if !f.json {
+			rep.Print(cmd.OutOrStdout())
+		}
+	}
+	if f.json {
+		if err := printJSON(cmd.OutOrStdout(), reports); err != nil {
+			return err
+		}
+	}
+	if broken {
+		return errBroken
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/tool/scene/scene.go
@@ -0,0 +1,192 @@
+// Package scene defines scenario files: a cell, its teams, the work that
+// arrives, and the faults that strike while it runs.
+//
+// # Usage
+//
+//	s, err := scene.Load("faults.ini") // a file, or the name of a shipped one
+package scene
+
+import (
+	"embed"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"lagooncourse/internal/base/conf"
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/cell/jobs"
+)
+
+//go:embed files/*.ini
+var files embed.FS
+
+// Scene is one scenario.
+type Scene struct {
+	Cell   Cell    `ini:"cell"`
+	Teams  []Team  `ini:"team"`
+	Work   []Work  `ini:"work"`
+	Calls  []Calls `ini:"calls"`
+	Faults []Fault `ini:"fault"`
+}
+
+// Cell describes the platform and the entry hosts.
+type Cell struct {
+	Name       string        `ini:"name" required:"true" doc:"name of the deployment"`
+	Seed       int64         `ini:"seed" def:"1" min:"0" max:"1000000000" doc:"seed of the arrivals"`
+	Run        time.Duration `ini:"run" def:"8s" min:"1s" max:"1h" doc:"how long work arrives"`
+	Settle     time.Duration `ini:"settle" def:"10s" min:"1s" max:"1h" doc:"how long to wait afterwards for the work to end"`
+	Azs        []string      `ini:"azs" required:"true" doc:"availability zones"`
+	Workers    int           `ini:"workers" def:"50" min:"1" max:"5000" doc:"number of workers"`
+	RackSize   int           `ini:"rackSize" def:"8" min:"1" max:"100" doc:"workers in a rack"`
+	CPU        int64         `ini:"cpuMillis" def:"64000" min:"1" max:"1000000" doc:"millicores of a worker"`
+	Mem        int64         `ini:"memoryMiB" def:"131072" min:"1" max:"16777216" doc:"memory of a worker"`
+	Accel      int64         `ini:"accelerators" def:"4" min:"0" max:"64" doc:"devices of a worker that has any"`
+	AccelEvery int           `ini:"accelEvery" def:"10" min:"0" max:"1000" doc:"every so many workers has devices"`
+	Hosts      int           `ini:"entryHosts" def:"6" min:"1" max:"40" doc:"number of entry hosts"`
+	Service    string        `ini:"service" def:"service" doc:"name of the service"`
+	Executors  int           `ini:"executors" def:"50" min:"1" max:"500" doc:"number of executors"`
+	Slots      int           `ini:"slots" def:"8" min:"1" max:"100" doc:"slots of an executor"`
+	Conns      int           `ini:"conns" def:"64" min:"1" max:"1000" doc:"connections of an executor"`
+	CallWork   time.Duration `ini:"callWork" def:"20ms" min:"0s" max:"1m" doc:"time that a call takes"`
+	Appends    int           `ini:"appendsPerSecond" def:"300" min:"1" max:"100000" doc:"the log's budget"`
+}
+
+// Team describes a team and its plan.
+type Team struct {
+	Name  string  `ini:"#id"`
+	Share int64   `ini:"share" def:"1" min:"1" max:"1000000" doc:"weight when the fleet is full"`
+	CPU   float64 `ini:"cpu" def:"1000000" min:"0.001" max:"100000000" doc:"upper limit in cores"`
+}
+
+// Work describes jobs that arrive at random times.
+type Work struct {
+	Name       string        `ini:"#id"`
+	Team       string        `ini:"team" required:"true" doc:"team that submits"`
+	Kind       string        `ini:"kind" def:"batch" oneof:"urgent,service,gang,batch" doc:"class"`
+	Every      time.Duration `ini:"every" required:"true" min:"1ms" max:"1h" doc:"mean time between two jobs"`
+	From       time.Duration `ini:"from" def:"0s" min:"0s" max:"1h" doc:"when the arrivals begin"`
+	Most       int           `ini:"most" def:"100000" min:"1" max:"1000000" doc:"largest number of jobs"`
+	Tasks      int           `ini:"tasks" def:"1" min:"1" max:"1000" doc:"tasks of a job"`
+	CPU        float64       `ini:"cpu" def:"1" min:"0.001" max:"1000" doc:"cores of a task"`
+	Mem        int64         `ini:"memoryMiB" def:"1024" min:"0" max:"16777216" doc:"memory of a task"`
+	Accel      int64         `ini:"accelerators" def:"0" min:"0" max:"64" doc:"devices of a task"`
+	RunFor     time.Duration `ini:"runFor" def:"0s" min:"0s" max:"1h" doc:"mean run time; 0 for a service"`
+	Idempotent bool          `ini:"idempotent" def:"false" doc:"a task may run again if it may have run"`
+}
+
+// Calls describes calls to the service that arrive at random times.
+type Calls struct {
+	Name       string        `ini:"#id"`
+	Team       string        `ini:"team" required:"true" doc:"team that calls"`
+	Every      time.Duration `ini:"every" required:"true" min:"100us" max:"1h" doc:"mean time between two calls"`
+	Idempotent bool          `ini:"idempotent" def:"false" doc:"a call may run again if it may have run"`
+	Timeout    time.Duration `ini:"timeout" def:"5s" min:"1ms" max:"10m" doc:"for one call"`
+}
+
+// The kinds of fault.
+const (
+	LogOut      = "logOut"
+	LogBack     = "logBack"
+	LogSlow     = "logSlow"
+	LoseAnswers = "loseAnswers"
+	KillHost    = "killHost"
+	StartHost   = "startHost"
+	StopHost    = "stopHost"
+	CutHost     = "cutHost"
+	MendHost    = "mendHost"
+	BadWorker   = "badWorker"
+	LoseWorker  = "loseWorker"
+	MendWorker  = "mendWorker"
+	AzOut       = "azOut"
+	AzBack      = "azBack"
+	Withdraw    = "withdrawKey"
+	CancelAll   = "cancelWave"
+	LeaveTarget = "leaveTarget"
+	CrossAnswer = "crossAnswers"
+	CutAnswer   = "cutAnswers"
+	MendTarget  = "mendTarget"
+)
+
+// Fault is something that happens at an instant.
+type Fault struct {
+	Name string        `ini:"#id"`
+	At   time.Duration `ini:"at" required:"true" min:"0s" max:"1h" doc:"when it happens"`
+	Kind string        `ini:"kind" required:"true" oneof:"logOut,logBack,logSlow,loseAnswers,killHost,startHost,stopHost,cutHost,mendHost,badWorker,loseWorker,mendWorker,azOut,azBack,withdrawKey,cancelWave,leaveTarget,crossAnswers,cutAnswers,mendTarget" doc:"what happens"`
+	Of   string        `ini:"of" doc:"host number, worker, target, availability zone, team or work that it happens to"`
+	N    int           `ini:"n" def:"1" min:"1" max:"1000000" doc:"how many answers, or milliseconds"`
+}
+
+var _ conf.Checker = Scene{}
+
+// Check returns the errors that span several keys.
+func (s Scene) Check() error {
+	var errs []error
+	bad := func(section, key, value, want string) {
+		errs = append(errs, &conf.Error{Section: section, Key: key, Value: value, Want: want})
+	}
+	var teams []string
+	for _, t := range s.Teams {
+		teams = append(teams, t.Name)
+	}
+	known := "must name a team: " + strings.Join(teams, ", ")
+	for _, w := range s.Work {
+		if !slices.Contains(teams, w.Team) {
+			bad("work "+w.Name, "team", w.Team, known)
+		}
+		if err := w.Spec(w.RunFor.Milliseconds()).WithDefaults().Check(); err != nil {
+			e := fault.From(err)
+			bad("work "+w.Name, e.Field, e.Value, e.Detail)
+		}
+	}
+	for _, c := range s.Calls {
+		if !slices.Contains(teams, c.Team) {
+			bad("calls "+c.Name, "team", c.Team, known)
+		}
+	}
+	for _, f := range s.Faults {
+		if f.Kind == AzOut && !slices.Contains(s.Cell.Azs, f.Of) {
+			bad("fault "+f.Name, "of", f.Of, "must name an availability zone: "+strings.Join(s.Cell.Azs, ", "))
+		}
+	}
+	return errors.Join(errs...)
+}
+
+// Spec returns the spec of one job of the work, with the given run time in
+// milliseconds.
+func (w Work) Spec(runMs int64) jobs.Spec {
+	return jobs.Spec{
+		Name: w.Name, Kind: jobs.Kind(w.Kind), Tasks: w.Tasks,
+		Size:  jobs.Size{CPU: int64(w.CPU * 1000), Mem: w.Mem, Accel: w.Accel},
+		RunMs: runMs, Idempotent: w.Idempotent || w.Kind == string(jobs.Service),
+	}
+}
+
+// Load reads a scenario file, or a shipped scenario by its name.
+func Load(path string) (s Scene, err error) {
+	defer fault.Note(&err, "scenario %q", path)
+	data, err := os.ReadFile(path)
+	if errors.Is(err, fs.ErrNotExist) {
+		data, err = files.ReadFile("files/" + strings.TrimSuffix(path, ".ini") + ".ini")
+	}
+	if err != nil {
+		return s, fmt.Errorf("neither a file nor one of the shipped scenarios %s: %w", strings.Join(Shipped(), ", "), err)
+	}
+	return conf.Parse[Scene](data)
+}
+
+// Shipped lists the names of the shipped scenarios.
+func Shipped() []string {
+	entries, err := files.ReadDir("files")
+	if err != nil {
+		panic(err) // the files are part of the program
+	}
+	var names []string
+	for _, e := range entries {
+		names = append(names, strings.TrimSuffix(e.Name(), ".ini"))
+	}
+	return names
+}
