--- a/internal/cell/books/books.go
+++ b/internal/cell/books/books.go
@@ -16,7 +16,7 @@
 //	b := books.New()
 //	b.SetWorkers(list)
 //	site, ok := b.Reserve(books.Ask{Attempt: a, Size: size, UntilMs: nowMs + 2000}, nowMs)
-//	seq, ok := b.Begin(a)             // before the start request is sent
+//	order, ok := b.Begin(a)             // before the start request is sent
 //	reports := b.Inventory(worker, inventory) // after every renewal
 package books
 
@@ -59,9 +59,10 @@
 	phase   phase
 	untilMs int64  // a reservation lapses at this instant
 	seq     uint64 // of the start request
-	boot    int64  // of the worker, when the start request was sent
+	boot    int64  // of the worker, when the room was reserved
 	open    bool   // the start request may still be under way
 	end     Report // once ended
+	noted   bool   // the end has been recorded at home
 }
 
 type account struct {
@@ -193,7 +194,8 @@
 		return Slot{}, false
 	}
 	b.book(a, &entry{
-		attempt: ask.Attempt, home: ask.Home, size: ask.Size, kind: ask.Kind, phase: reserved, untilMs: ask.UntilMs,
+		attempt: ask.Attempt, home: ask.Home, size: ask.Size, kind: ask.Kind,
+		phase: reserved, untilMs: ask.UntilMs, boot: a.boot,
 	})
 	return Slot{Worker: a.ID, Boot: a.boot}, true
 }
@@ -278,22 +280,29 @@
 	return a, a.attempts[at]
 }
 
-// Begin marks a reserved attempt as being sent and returns the sequence number
-// for its start request. It fails if the reservation has lapsed or was denied,
-// or if the worker has been closed since; the attempt then never starts.
-func (b *Books) Begin(at Attempt) (worker string, seq uint64, ok bool) {
+// Order is what a start request has to carry for the worker to accept it.
+type Order struct {
+	Worker string
+	Seq    uint64 // within the epoch
+	Boot   int64  // of the worker; one that has restarted since refuses the request
+}
+
+// Begin marks a reserved attempt as being sent. It fails if the reservation
+// has lapsed or was denied, or if the worker has been closed or has restarted
+// since; the attempt then never starts.
+func (b *Books) Begin(at Attempt) (o Order, ok bool) {
 	a, e := b.find(at)
 	if e == nil || e.phase != reserved {
-		return "", 0, false
+		return Order{}, false
 	}
-	if !a.open() {
+	if !a.open() || a.boot != e.boot {
 		b.drop(a, e)
 		b.deny(at)
-		return "", 0, false
+		return Order{}, false
 	}
-	e.phase, e.seq, e.boot, e.open = sending, b.nextSeq, a.boot, true
+	e.phase, e.seq, e.open = sending, b.nextSeq, true
 	b.nextSeq++
-	return a.ID, e.seq, true
+	return Order{Worker: a.ID, Seq: e.seq, Boot: e.boot}, true
 }
 
 // Started notes that the worker has confirmed the start.
@@ -319,19 +328,36 @@
 	}
 }
 
-// Floor returns the sequence number below which no start request can still be
-// under way. A renewal that carries it makes the worker refuse older starts,
-// so its inventory is the last word on them.
-func (b *Books) Floor(worker string) uint64 {
-	floor := b.nextSeq
-	if a := b.workers[worker]; a != nil {
-		for _, e := range a.attempts {
-			if e.open {
-				floor = min(floor, e.seq)
-			}
+// Renewal is what the next renewal of a worker has to carry.
+type Renewal struct {
+	// Floor is the sequence number below which no start request can still be
+	// under way. It makes the worker refuse older starts, so the inventory in
+	// its answer is the last word on them.
+	Floor uint64
+	// Forget lists ended attempts that the worker need not report any more.
+	// Only those below the floor are listed: as long as a worker reports an
+	// attempt, a repeated start request cannot run it again.
+	Forget []Attempt
+}
+
+// Renewal returns what the next renewal of the worker has to carry.
+func (b *Books) Renewal(worker string) Renewal {
+	r := Renewal{Floor: b.nextSeq}
+	a := b.workers[worker]
+	if a == nil {
+		return r
+	}
+	for _, e := range a.attempts {
+		if e.open {
+			r.Floor = min(r.Floor, e.seq)
+		}
+	}
+	for at, e := range a.attempts {
+		if e.noted && e.seq < r.Floor {
+			r.Forget = append(r.Forget, at)
 		}
 	}
-	return floor
+	return r
 }
 
 // Cancel drops the reservation of an attempt that will not be started.
--- a/internal/cell/books/report.go
+++ b/internal/cell/books/report.go
@@ -25,9 +25,9 @@
 
 // Inventory is what a worker reports about itself.
 type Inventory struct {
-	Floor uint64 // that the renewal carried
-	Boot  int64
-	Seen  []Seen
+	Renewal // that it answers
+	Boot    int64
+	Seen    []Seen
 }
 
 // Inventory reconciles a worker's account with what the worker reports. It
@@ -38,6 +38,11 @@
 		return nil
 	}
 	a.boot = inv.Boot
+	for _, at := range inv.Forget {
+		if e := a.attempts[at]; e != nil && e.noted {
+			b.drop(a, e)
+		}
+	}
 	var news []Report
 	there := make(map[Attempt]bool, len(inv.Seen))
 	for _, s := range inv.Seen {
@@ -139,10 +144,11 @@
 	}
 }
 
-// Forget drops an ended attempt, because its home has recorded the end.
+// Forget notes that an attempt's home has recorded its end. It is dropped once
+// its worker has been told.
 func (b *Books) Forget(at Attempt) {
-	if a, e := b.find(at); e != nil && e.phase == ended {
-		b.drop(a, e)
+	if _, e := b.find(at); e != nil && e.phase == ended {
+		e.noted = true
 	}
 }
 
@@ -196,12 +202,12 @@
 	return Unsure, Report{}
 }
 
-// Reports returns the ends that have not been forgotten, by home group.
+// Reports returns the ends that no home has recorded yet, by home group.
 func (b *Books) Reports() map[string][]Report {
 	byHome := map[string][]Report{}
 	for _, id := range b.order {
 		for _, e := range b.workers[id].attempts {
-			if e.phase == ended {
+			if e.phase == ended && !e.noted {
 				byHome[e.home] = append(byHome[e.home], e.end)
 			}
 		}
--- a/internal/node/owner/home.go
+++ b/internal/node/owner/home.go
@@ -61,20 +61,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for _, at := range a.Recorded {
-		g.forget(at)
-	}
-}
-
-// forget drops a recorded end from the books and has the worker forget it. The
-// caller holds the lock.
-func (g *Group) forget(at books.Attempt) {
-	id, ok := g.books.WorkerOf(at)
-	if !ok {
-		return
-	}
-	g.books.Forget(at)
-	if k := g.keepers[id]; k != nil {
-		k.forget = append(k.forget, workerAttempt(at))
+		g.books.Forget(at)
 	}
 }
 
--- a/internal/node/owner/keep.go
+++ b/internal/node/owner/keep.go
@@ -35,7 +35,6 @@
 
 	// Guarded by the group's lock.
 	version   uint64
-	forget    []worker.Attempt
 	failures  int
 	leaseEnds time.Time // by then the worker's newest lease has run out for sure
 	lost      bool
@@ -103,7 +102,7 @@
 // keep renews one worker until the group is given up.
 func (g *Group) keep(k *keeper, epoch uint64) {
 	for k.ctx.Err() == nil {
-		req, ok := g.renewal(k, epoch)
+		req, r, ok := g.renewal(k, epoch)
 		if !ok {
 			return
 		}
@@ -112,7 +111,7 @@
 			return
 		}
 		if err == nil {
-			g.renewed(k, epoch, req, inv)
+			g.renewed(k, epoch, r, inv)
 			continue
 		}
 		if g.notRenewed(k, epoch, err) {
@@ -128,17 +127,20 @@
 // renewal makes the next request for a worker. While the worker does not
 // answer, the request extends no lease, so that the time after which all of
 // its tasks have stopped stays where it is.
-func (g *Group) renewal(k *keeper, epoch uint64) (worker.RenewRequest, bool) {
+func (g *Group) renewal(k *keeper, epoch uint64) (req worker.RenewRequest, r books.Renewal, ok bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.epoch != epoch {
-		return worker.RenewRequest{}, false
+		return req, r, false
 	}
-	req := worker.RenewRequest{
-		Token:  worker.Token{Epoch: epoch, Seq: g.books.Floor(k.host.ID)},
+	r = g.books.Renewal(k.host.ID)
+	req = worker.RenewRequest{
+		Token:  worker.Token{Epoch: epoch, Seq: r.Floor},
 		Since:  k.version,
 		WaitMs: g.cfg.Timing.Renew.Milliseconds(),
-		Forget: append([]worker.Attempt(nil), k.forget...),
+	}
+	for _, at := range r.Forget {
+		req.Forget = append(req.Forget, workerAttempt(at))
 	}
 	if k.failures > 0 || !g.books.Ready(k.host.ID) {
 		req.WaitMs, req.Since = 0, 0
@@ -151,7 +153,7 @@
 			k.leaseEnds = ends
 		}
 	}
-	return req, true
+	return req, r, true
 }
 
 // renewTimeout is the worker client's bound for a request, beyond its wait. A
@@ -159,7 +161,7 @@
 const renewTimeout = time.Second
 
 // renewed takes a worker's answer.
-func (g *Group) renewed(k *keeper, epoch uint64, req worker.RenewRequest, inv worker.Inventory) {
+func (g *Group) renewed(k *keeper, epoch uint64, r books.Renewal, inv worker.Inventory) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.epoch != epoch {
@@ -169,8 +171,7 @@
 		g.log.Info("worker answers again", "worker", k.host.ID)
 	}
 	k.failures, k.lost, k.version = 0, false, inv.Version
-	k.forget = k.forget[len(req.Forget):]
-	news := g.books.Inventory(k.host.ID, books.Inventory{Floor: req.Token.Seq, Boot: inv.Boot, Seen: seen(inv)})
+	news := g.books.Inventory(k.host.ID, books.Inventory{Renewal: r, Boot: inv.Boot, Seen: seen(inv)})
 	if len(news) > 0 {
 		go g.sendReports(k.ctx)
 	}
@@ -282,14 +283,14 @@
 // Start starts a reserved attempt. The answer Absent means that it does not
 // run and never will.
 func (g *Group) Start(ctx context.Context, msg wire.StartMsg) (a wire.StartAnswer, err error) {
-	k, seq, epoch, err := g.beginStart(msg)
+	k, order, epoch, err := g.beginStart(msg)
 	if err != nil {
 		return a, err
 	}
 	if k == nil {
 		return wire.StartAnswer{Place: books.Absent}, nil
 	}
-	err = k.w.Start(ctx, startRequest(msg, worker.Token{Epoch: epoch, Seq: seq}))
+	err = k.w.Start(ctx, startRequest(msg, epoch, order))
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.epoch != epoch {
@@ -310,26 +311,27 @@
 
 // beginStart books the start as sent. A nil keeper means that the attempt must
 // not start.
-func (g *Group) beginStart(msg wire.StartMsg) (k *keeper, seq, epoch uint64, err error) {
+func (g *Group) beginStart(msg wire.StartMsg) (k *keeper, order books.Order, epoch uint64, err error) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.epoch == 0 {
-		return nil, 0, 0, notOwner(g.cfg.Name)
+		return nil, order, 0, notOwner(g.cfg.Name)
 	}
 	if g.mayStart() != nil {
 		g.books.Cancel(msg.Attempt)
-		return nil, 0, 0, nil
+		return nil, order, 0, nil
 	}
-	id, seq, ok := g.books.Begin(msg.Attempt)
+	order, ok := g.books.Begin(msg.Attempt)
 	if !ok {
-		return nil, 0, 0, nil
+		return nil, order, 0, nil
 	}
-	return g.keepers[id], seq, g.epoch, nil
+	return g.keepers[order.Worker], order, g.epoch, nil
 }
 
-func startRequest(msg wire.StartMsg, token worker.Token) worker.StartRequest {
+func startRequest(msg wire.StartMsg, epoch uint64, order books.Order) worker.StartRequest {
 	return worker.StartRequest{
-		Token:   token,
+		Token:   worker.Token{Epoch: epoch, Seq: order.Seq},
+		Boot:    order.Boot,
 		Attempt: worker.Attempt{Task: msg.Attempt.Task, Number: msg.Attempt.Number},
 		Home:    msg.Home, Family: msg.Spec.Name, Class: string(msg.Spec.Kind),
 		CPU: msg.Spec.Size.CPU, Mem: msg.Spec.Size.Mem, Accel: msg.Spec.Size.Accel,
--- a/internal/plat/fakes/worker.go
+++ b/internal/plat/fakes/worker.go
@@ -177,7 +177,7 @@
 		}
 		clear(w.finished)
 		w.boot++
-		w.token = worker.Token{}
+		w.token, w.leaseEnd = worker.Token{}, time.Time{}
 	}
 	w.bump()
 }
@@ -265,10 +265,15 @@
 	if req.Token.Seq < w.token.Seq {
 		return false, fault.New(fault.Conflict, fault.NotRun, "sequence %d is below the floor %d", req.Token.Seq, w.token.Seq)
 	}
+	if req.Boot != w.boot {
+		return false, fault.New(fault.Conflict, fault.NotRun, "boot %d is not the present %d", req.Boot, w.boot)
+	}
 	if time.Now().After(w.leaseEnd) {
 		return false, fault.New(fault.Conflict, fault.NotRun, "worker %q has no lease", w.host.ID)
 	}
-	if _, ok := w.running[req.Attempt]; ok {
+	_, running := w.running[req.Attempt]
+	_, finished := w.finished[req.Attempt]
+	if running || finished {
 		return false, nil
 	}
 	w.run(req)
--- a/internal/plat/worker/worker.go
+++ b/internal/plat/worker/worker.go
@@ -4,10 +4,13 @@
 // A worker runs a task as long as it holds a lease for it. It keeps the
 // highest fencing token that it has seen, an epoch and a sequence number, and
 // refuses every request with a lower one. The system's promise that no task
-// runs in two places leans on exactly three properties of a worker:
+// runs in two places leans on exactly four properties of a worker:
 //
 //   - It refuses a start whose epoch is lower than the highest it has seen, or
 //     whose sequence number is below the floor of the last renewal.
+//   - It starts nothing without a lease, nothing that was meant for an earlier
+//     boot of it, and no attempt that it still reports
+//     as running or finished.
 //   - It stops every task when its lease runs out, by its own clock.
 //   - It reports every task that it runs, and every finished one until it is
 //     told that the result was recorded. When it forgets, by a restart, its
@@ -44,6 +47,7 @@
 // MiB; both are hard bounds for the worker's own accounting.
 type StartRequest struct {
 	Token      Token   `json:"token"`
+	Boot       int64   `json:"boot"` // of the worker that is meant
 	Attempt    Attempt `json:"attempt"`
 	Home       string  `json:"home"` // group that owns the job
 	Family     string  `json:"family"`
