--- a/internal/cell/books/books.go
+++ b/internal/cell/books/books.go
@@ -71,7 +71,7 @@
 	ready    bool    // its inventory has been seen
 	lost     bool    // its lease has run out since the books were opened
 	boot     int64   // from its newest inventory
-	held     bool    // closed to new work by quarantine
+	mode     Mode    // what quarantine admits
 	savedFor Attempt // the only attempt for which room is reserved until savedMs
 	savedMs  int64
 	attempts map[Attempt]*entry
@@ -155,10 +155,20 @@
 	return a != nil && a.ready
 }
 
-// Hold closes a worker to new work, or opens it again.
-func (b *Books) Hold(worker string, on bool) {
+// Mode says what a worker may be given.
+type Mode uint8
+
+// The modes.
+const (
+	Open   Mode = iota // anything
+	Closed             // nothing
+	Probe              // one attempt at a time that may run again
+)
+
+// SetMode changes what a worker may be given.
+func (b *Books) SetMode(worker string, m Mode) {
 	if a := b.workers[worker]; a != nil {
-		a.held = on
+		a.mode = m
 	}
 }
 
@@ -170,6 +180,7 @@
 	Size    jobs.Size
 	UntilMs int64    // the reservation lapses then, unless the attempt has begun
 	Avoid   []string // workers that are not wanted
+	Again   bool     // the task may run again, and so serve as a probe
 }
 
 // Slot is reserved room on a worker.
@@ -208,7 +219,8 @@
 	var bestScore float64
 	for _, id := range b.order {
 		a := b.workers[id]
-		if !a.open() || !ask.Size.Fits(a.room()) || contains(ask.Avoid, id) || a.savedFromOthers(ask.Attempt, nowMs) {
+		if !a.open() || !a.admits(ask) || !ask.Size.Fits(a.room()) ||
+			contains(ask.Avoid, id) || a.savedFromOthers(ask.Attempt, nowMs) {
 			continue
 		}
 		left := a.room().Minus(ask.Size)
@@ -230,13 +242,21 @@
 // that needs none. It outweighs every fill level.
 const scarceDevices = 1.0
 
+// admits reports whether the worker's mode lets the ask in.
+func (a *account) admits(ask Ask) bool {
+	if a.mode != Probe {
+		return true
+	}
+	return ask.Again && a.used.IsZero()
+}
+
 // savedFromOthers reports whether the worker's room is kept for an attempt
 // other than at.
 func (a *account) savedFromOthers(at Attempt, nowMs int64) bool {
 	return nowMs < a.savedMs && a.savedFor != at
 }
 
-func (a *account) open() bool      { return a.ready && !a.held && !a.Leaving }
+func (a *account) open() bool      { return a.ready && a.mode != Closed && !a.Leaving }
 func (a *account) room() jobs.Size { return a.Cap.Minus(a.used) }
 
 func contains(list []string, s string) bool {
--- a/internal/cell/books/evict.go
+++ b/internal/cell/books/evict.go
@@ -21,7 +21,7 @@
 		if nowMs < a.savedMs && a.savedFor == ask.Attempt {
 			return nil
 		}
-		if !a.open() || nowMs < a.savedMs || contains(ask.Avoid, id) {
+		if !a.open() || a.mode == Probe || nowMs < a.savedMs || contains(ask.Avoid, id) {
 			continue
 		}
 		victims, size, ok := a.victims(ask.Size)
--- /dev/null
+++ b/internal/cell/trust/trust_test.go
@@ -0,0 +1,54 @@
+package trust
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// TestScripts runs the scripts in testdata. A line is one of
+//
+//	MS ok WORKER JOB
+//	MS fail WORKER JOB
+//	MS state WORKER STATE
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, path := range files {
+		t.Run(filepath.Base(path), func(t *testing.T) { runScript(t, path) })
+	}
+}
+
+func runScript(t *testing.T, path string) {
+	f, err := os.Open(path)
+	assert.NilError(t, err)
+	defer f.Close()
+	tr := New(Config{})
+	states := 0
+	for sc := bufio.NewScanner(f); sc.Scan(); {
+		line := strings.TrimSpace(sc.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		var ms int64
+		var verb, worker, arg string
+		_, err := fmt.Sscan(line, &ms, &verb, &worker, &arg)
+		assert.NilError(t, err, line)
+		switch verb {
+		case "ok", "fail":
+			tr.Note(End{Worker: worker, Job: arg, OK: verb == "ok", AtMs: ms})
+		case "state":
+			states++
+			assert.Equal(t, tr.State(worker, ms).String(), arg, line)
+		default:
+			t.Fatalf("line %q has no known verb", line)
+		}
+	}
+	assert.Assert(t, states > 0, "the script checks nothing")
+}
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -41,6 +41,7 @@
 	"lagooncourse/internal/cell/group"
 	"lagooncourse/internal/cell/jobs"
 	"lagooncourse/internal/cell/queue"
+	"lagooncourse/internal/cell/trust"
 	"lagooncourse/internal/node/wire"
 	"lagooncourse/internal/plat/hosts"
 	"lagooncourse/internal/plat/stream"
@@ -125,6 +126,7 @@
 	closing  bool   // the group is being handed over; no call is taken
 	ownedAt  time.Time
 	books    *books.Books
+	trust    *trust.Trust
 	queue    *queue.Queue
 	workers  []hosts.Worker
 	keepers  map[string]*keeper // worker id -> its renewal loop
@@ -178,6 +180,7 @@
 	g.state = group.NewState(g.cfg.Name)
 	g.replay = &stream.Replay{Stream: group.StreamOf(g.cfg.Name), Machine: g.state}
 	g.books = books.New()
+	g.trust = trust.New(trust.Config{})
 	g.queue = queue.New(queue.Config{Policy: g.cfg.Policy})
 	g.keepers = map[string]*keeper{}
 	g.changed = make(chan struct{})
--- a/internal/node/owner/house.go
+++ b/internal/node/owner/house.go
@@ -23,6 +23,9 @@
 	every(ctx, houseEvery, func(ctx context.Context) {
 		g.snapshot(ctx)
 		g.forgetOld()
+		g.mu.Lock()
+		g.reopen()
+		g.mu.Unlock()
 	})
 }
 
@@ -92,6 +95,7 @@
 	ID       string `json:"id"`
 	Ready    bool   `json:"ready"`
 	Lost     bool   `json:"lost"`
+	Trust    string `json:"trust"`
 	Failures int    `json:"failures"`
 	Tasks    int    `json:"tasks"`
 }
@@ -115,7 +119,7 @@
 		d.Used[team] = used
 	}
 	for _, id := range g.books.Workers() {
-		wd := WorkerDump{ID: id, Ready: g.books.Ready(id), Tasks: len(g.books.Running(id))}
+		wd := WorkerDump{ID: id, Ready: g.books.Ready(id), Tasks: len(g.books.Running(id)), Trust: g.trust.State(id, g.nowMs()).String()}
 		if k := g.keepers[id]; k != nil {
 			wd.Lost, wd.Failures = k.lost, k.failures
 		}
--- a/internal/node/owner/keep.go
+++ b/internal/node/owner/keep.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/books"
 	"lagooncourse/internal/cell/config"
 	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/cell/trust"
 	"lagooncourse/internal/node/wire"
 	"lagooncourse/internal/plat/hosts"
 	"lagooncourse/internal/plat/worker"
@@ -172,12 +174,47 @@
 	}
 	k.failures, k.lost, k.version = 0, false, inv.Version
 	news := g.books.Inventory(k.host.ID, books.Inventory{Renewal: r, Boot: inv.Boot, Seen: seen(inv)})
+	g.judge(news)
 	if len(news) > 0 {
 		go g.sendReports(k.ctx)
 	}
 	g.poke()
 }
 
+// judge notes how attempts ended and brings the workers' modes in line. The
+// caller holds the lock.
+func (g *Group) judge(news []books.Report) {
+	now := g.nowMs()
+	for _, r := range news {
+		if r.How != jobs.EndOK && r.How != jobs.EndFailed {
+			continue
+		}
+		job, _, _ := strings.Cut(r.Attempt.Task, "/")
+		if g.trust.Note(trust.End{Worker: r.Worker, Job: job, OK: r.How == jobs.EndOK, AtMs: now}) {
+			g.log.Info("worker trust changed", "worker", r.Worker, "ok", r.How == jobs.EndOK)
+			g.books.SetMode(r.Worker, modeOf(g.trust.State(r.Worker, now)))
+		}
+	}
+}
+
+func modeOf(s trust.State) books.Mode {
+	switch s {
+	case trust.Quarantined:
+		return books.Closed
+	case trust.Probing:
+		return books.Probe
+	}
+	return books.Open
+}
+
+// reopen lets the workers be probed whose quarantine is over. The caller holds
+// the lock.
+func (g *Group) reopen() {
+	for _, id := range g.trust.Distrusted() {
+		g.books.SetMode(id, modeOf(g.trust.State(id, g.nowMs())))
+	}
+}
+
 // seen translates a worker's inventory for the books.
 func seen(inv worker.Inventory) []books.Seen {
 	var list []books.Seen
--- a/internal/node/owner/place.go
+++ b/internal/node/owner/place.go
@@ -204,7 +204,7 @@
 		ref := jobs.Ref{Job: it.Ref.Job, Index: i}
 		at := books.Attempt{Task: ref.String(), Number: j.Tasks[i].Attempt + 1}
 		pl.tasks = append(pl.tasks, ref)
-		pl.asks = append(pl.asks, books.Ask{Attempt: at, Home: g.cfg.Name, Kind: it.Kind, Size: it.Size, UntilMs: until})
+		pl.asks = append(pl.asks, books.Ask{Attempt: at, Home: g.cfg.Name, Kind: it.Kind, Size: it.Size, UntilMs: until, Again: j.Spec.Idempotent})
 	}
 	return pl
 }
