--- /dev/null
+++ b/internal/node/route/main_test.go
@@ -0,0 +1,10 @@
+package route
+
+import (
+	"os"
+	"testing"
+
+	"lagooncourse/internal/base/seeds"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeds.Run(m)) }
--- a/internal/node/route/pool.go
+++ b/internal/node/route/pool.go
@@ -47,6 +47,7 @@
 	mu      sync.Mutex
 	targets map[string]*member
 	waiting []chan *member // oldest first; a closed pool closes them
+	taken   uint64         // slots taken so far
 	busy    int
 	closed  bool
 }
@@ -57,6 +58,7 @@
 	t        target.Target
 	busy     int
 	failures int       // in a row
+	lastTake uint64    // orders targets by their last call
 	restAt   time.Time // takes no calls before
 }
 
@@ -192,16 +194,30 @@
 		if !m.open(now) || m.busy >= m.host.Slots {
 			continue
 		}
-		if best == nil || m.free() > best.free() || m.free() == best.free() && m.host.ID < best.host.ID {
+		if best == nil || m.before(best) {
 			best = m
 		}
 	}
 	return best
 }
 
+// before reports whether m is the better choice: more free slots, and among
+// equals the one that has been left alone the longest.
+func (m *member) before(o *member) bool {
+	if m.free() != o.free() {
+		return m.free() > o.free()
+	}
+	if m.lastTake != o.lastTake {
+		return m.lastTake < o.lastTake
+	}
+	return m.host.ID < o.host.ID
+}
+
 func (m *member) free() int { return m.host.Slots - m.busy }
 
 func (p *Pool) take(m *member) {
+	p.taken++
+	m.lastTake = p.taken
 	m.busy++
 	p.busy++
 }
--- /dev/null
+++ b/internal/node/route/route_test.go
@@ -0,0 +1,242 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lagooncourse/internal/base/clock"
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/node/wire"
+	"lagooncourse/internal/plat/hosts"
+	"lagooncourse/internal/plat/target"
+)
+
+// fakeTarget holds every call until it is released, and counts them.
+type fakeTarget struct {
+	mu      sync.Mutex
+	busy    int
+	most    int
+	calls   int
+	err     error
+	release chan struct{} // nil answers at once
+}
+
+func (f *fakeTarget) Call(ctx context.Context, req target.Request) (target.Answer, error) {
+	f.mu.Lock()
+	f.calls++
+	f.busy++
+	f.most = max(f.most, f.busy)
+	err := f.err
+	f.mu.Unlock()
+	if f.release != nil {
+		<-f.release
+	}
+	f.mu.Lock()
+	f.busy--
+	f.mu.Unlock()
+	return target.Answer{Body: req.Body, Status: 200}, err
+}
+
+func (f *fakeTarget) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.calls
+}
+
+// testPool returns a pool of n targets with two slots each.
+func testPool(n int, held bool) (*Pool, []*fakeTarget, []hosts.Target, *clock.Manual) {
+	fakes := make([]*fakeTarget, n)
+	list := make([]hosts.Target, n)
+	byID := map[string]*fakeTarget{}
+	for i := range n {
+		fakes[i] = &fakeTarget{}
+		if held {
+			fakes[i].release = make(chan struct{})
+		}
+		list[i] = hosts.Target{ID: fmt.Sprintf("t%d", i), Service: "s", Slots: 2, State: hosts.Live}
+		byID[list[i].ID] = fakes[i]
+	}
+	c := clock.NewManual(time.Unix(0, 0))
+	p := NewPool(PoolConfig{Group: "g", Service: "s", Clock: c, Dial: func(h hosts.Target) target.Target { return byID[h.ID] }})
+	p.SetTargets(list)
+	return p, fakes, list, c
+}
+
+// until polls a condition up to a bound.
+func until(t *testing.T, ok func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !ok(); {
+		if time.Now().After(deadline) {
+			t.Fatal("not so within 10 s")
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// TestPoolSlots checks that a pool never puts more calls on a target than it
+// has slots, that calls wait in order, and that too many are refused.
+func TestPoolSlots(t *testing.T) {
+	p, fakes, _, _ := testPool(2, true)
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	outcomes := map[fault.Outcome]int{}
+	const calls = 30
+	for i := range calls {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			_, err := p.Serve(context.Background(), wire.CallMsg{ID: fmt.Sprint(i)})
+			mu.Lock()
+			defer mu.Unlock()
+			outcomes[fault.RanOf(err)]++
+		}()
+	}
+	capacity := 4 + 4*maxQueuePerSlot
+	until(t, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return outcomes[fault.NotRun] == calls-capacity
+	})
+	for _, f := range fakes {
+		close(f.release)
+	}
+	wg.Wait()
+	assert.Equal(t, outcomes[fault.Done], capacity)
+	ran := 0
+	for _, f := range fakes {
+		assert.Assert(t, f.most <= 2, "a target with 2 slots had %d calls", f.most)
+		ran += f.calls
+	}
+	assert.Equal(t, ran, capacity, "a refused call ran")
+	assert.Equal(t, p.Load().Busy, 0)
+}
+
+// TestPoolGivesUp checks that a call that waits too long has not run and gives
+// its place back.
+func TestPoolGivesUp(t *testing.T) {
+	p, fakes, _, _ := testPool(1, true)
+	for range 2 {
+		go func() { _, _ = p.Serve(context.Background(), wire.CallMsg{ID: "held"}) }()
+	}
+	until(t, func() bool { return fakes[0].count() == 2 })
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() {
+		_, err := p.Serve(ctx, wire.CallMsg{ID: "waits"})
+		done <- err
+	}()
+	until(t, func() bool { return p.Load().Queued == 1 })
+	cancel()
+	assert.Equal(t, fault.RanOf(<-done), fault.NotRun)
+	close(fakes[0].release)
+	until(t, func() bool { return p.Load().Busy == 0 })
+	assert.Equal(t, fakes[0].count(), 2)
+}
+
+// TestLeavingTarget checks that a leaving target gets no new call while the
+// ones on it go on.
+func TestLeavingTarget(t *testing.T) {
+	p, fakes, list, _ := testPool(2, false)
+	list[0].State = hosts.Leaving
+	p.SetTargets(list)
+	for range 10 {
+		_, err := p.Serve(context.Background(), wire.CallMsg{})
+		assert.NilError(t, err)
+	}
+	assert.Equal(t, fakes[0].count(), 0)
+	assert.Equal(t, fakes[1].count(), 10)
+	assert.Equal(t, p.Load().Slots, 2)
+	p.SetTargets(list[:0])
+	_, err := p.Serve(context.Background(), wire.CallMsg{})
+	assert.Equal(t, fault.RanOf(err), fault.NotRun)
+}
+
+// TestRest checks that a failing target rests and returns, and that a service
+// is never emptied by its own failures.
+func TestRest(t *testing.T) {
+	p, fakes, _, c := testPool(3, false)
+	for _, f := range fakes {
+		f.err = fault.New(fault.BadAnswer, fault.Unknown, "broken")
+	}
+	for range 30 {
+		_, err := p.Serve(context.Background(), wire.CallMsg{})
+		assert.Equal(t, fault.RanOf(err), fault.Unknown)
+	}
+	assert.Equal(t, p.Load().Slots, 4, "one of three targets may rest")
+	c.Advance(restTime)
+	assert.Equal(t, p.Load().Slots, 6)
+}
+
+// script is a Forwarder that answers each try from a list.
+type script struct {
+	pools []wire.Pool
+	errs  []error
+	sent  []wire.CallMsg
+}
+
+func (s *script) Pools() []wire.Pool { return s.pools }
+
+func (s *script) Serve(_ context.Context, msg wire.CallMsg) (wire.CallAnswer, error) {
+	s.sent = append(s.sent, msg)
+	if n := len(s.sent); n <= len(s.errs) && s.errs[n-1] != nil {
+		return wire.CallAnswer{}, s.errs[n-1]
+	}
+	return wire.CallAnswer{Ran: fault.Done}, nil
+}
+
+// TestRetries checks against a naive rule that a call is repeated only where
+// that is safe, with an id of its own each time.
+func TestRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var errs []error
+		for range rapid.IntRange(0, 6).Draw(t, "errors") {
+			ran := rapid.SampledFrom([]fault.Outcome{fault.NotRun, fault.Unknown}).Draw(t, "ran")
+			errs = append(errs, fault.New(fault.Unavailable, ran, "x"))
+		}
+		idempotent := rapid.Bool().Draw(t, "idempotent")
+		s := &script{errs: errs}
+		for _, g := range []string{"a", "b", "c"} {
+			s.pools = append(s.pools, wire.Pool{Group: g, Service: "s", Slots: 1})
+		}
+		r := NewRouter(RouterConfig{Forward: s, Rand: rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))})
+		_, err := r.Call(context.Background(), wire.CallMsg{Service: "s", ID: "c", Idempotent: idempotent})
+		want := 1
+		for want < maxTries && want <= len(errs) && (idempotent || fault.RanOf(errs[want-1]) == fault.NotRun) {
+			want++
+		}
+		assert.Equal(t, len(s.sent), want)
+		assert.Equal(t, err == nil, want > len(errs))
+		ids := map[string]bool{}
+		for _, m := range s.sent {
+			assert.Assert(t, !ids[m.ID], "id %q was used twice", m.ID)
+			ids[m.ID] = true
+		}
+		if len(s.sent) >= 2 {
+			assert.Assert(t, s.sent[0].Group != s.sent[1].Group, "a retry went to the same pool")
+		}
+	})
+}
+
+// TestRetryBudget checks that retries stop once the budget is used up.
+func TestRetryBudget(t *testing.T) {
+	s := &script{pools: []wire.Pool{{Group: "a", Service: "s", Slots: 1}}}
+	for range 10_000 {
+		s.errs = append(s.errs, fault.New(fault.Unavailable, fault.NotRun, "down"))
+	}
+	r := NewRouter(RouterConfig{Forward: s, Rand: rand.New(rand.NewPCG(1, 1))})
+	const calls = 1000
+	for i := range calls {
+		_, err := r.Call(context.Background(), wire.CallMsg{Service: "s", ID: fmt.Sprint(i)})
+		assert.Equal(t, fault.RanOf(err), fault.NotRun)
+	}
+	retries := r.Stats().Retries
+	assert.Assert(t, retries <= maxBudget+calls*budgetPerCall, "%d retries", retries)
+	assert.Assert(t, retries >= maxBudget)
+}
