--- a/internal/node/entry/cell.go
+++ b/internal/node/entry/cell.go
@@ -45,7 +45,7 @@
 var _ owner.Cell = (*follower)(nil)
 
 const (
-	followWait    = time.Second
+	maxFollowWait = time.Second
 	followRetry   = 200 * time.Millisecond
 	peerTimeout   = time.Second
 	maxRecent     = 4096 // records kept for peers
@@ -67,13 +67,17 @@
 	}
 }
 
+// followWait is how long a read may wait for a record. A quiet stream must not
+// make the configuration look old.
+func (f *follower) followWait() time.Duration { return min(maxFollowWait, f.freshFor/4) }
+
 // step reads one page. The state is complete as of the instant at which the
 // request was sent, since the log answers with all that it had then.
 func (f *follower) step(ctx context.Context) error {
 	f.mu.Lock()
 	from, sent := f.replay.Next(), f.clock.Now()
 	f.mu.Unlock()
-	p, err := f.log.Read(ctx, stream.ReadRequest{Stream: config.Stream, From: from, Wait: followWait})
+	p, err := f.log.Read(ctx, stream.ReadRequest{Stream: config.Stream, From: from, Wait: f.followWait()})
 	if err != nil {
 		return err
 	}
@@ -249,7 +253,7 @@
 // await waits until done holds, for as long as reading an appended record may
 // take.
 func (f *follower) await(ctx context.Context, done func(*config.State) bool) bool {
-	timeout := time.After(followWait)
+	timeout := time.After(maxFollowWait)
 	for {
 		f.mu.Lock()
 		changed := f.changed
--- /dev/null
+++ b/internal/node/entry/entry_test.go
@@ -0,0 +1,354 @@
+package entry
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/cell/config"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/plat/fakes"
+	"lagooncourse/internal/plat/worker"
+)
+
+// refusal is the part of a problem document that the scripts check.
+type refusal struct {
+	Status int           `json:"status"`
+	Ran    fault.Outcome `json:"ran"`
+	Field  string        `json:"field"`
+}
+
+// TestBadRequests sends the requests of testdata/requests.txt. Each is refused
+// with the status and field beside it, and nothing runs.
+func TestBadRequests(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 1, workers: 4})
+	c.team("lab", 4000)
+	f, err := os.Open("testdata/requests.txt")
+	assert.NilError(t, err)
+	defer f.Close()
+	n := 0
+	for sc := bufio.NewScanner(f); sc.Scan(); {
+		line := sc.Text()
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		n++
+		checkRefusal(t, c.hosts[0], line)
+	}
+	assert.Assert(t, n > 20, "only %d requests", n)
+	assert.Equal(t, len(c.fleet.Runs())+len(c.execs.Executions()), 0)
+}
+
+// checkRefusal sends one line "STATUS FIELD KEY METHOD PATH HEADER BODY".
+func checkRefusal(t *testing.T, h *Host, line string) {
+	t.Helper()
+	parts := strings.SplitN(line, " ", 7)
+	assert.Equal(t, len(parts), 7, line)
+	var status int
+	_, err := fmt.Sscan(parts[0], &status)
+	assert.NilError(t, err, line)
+	body := strings.ReplaceAll(parts[6], "LONG", strings.Repeat("x", 2<<20))
+	r, err := http.NewRequest(parts[3], h.API()+parts[4], strings.NewReader(body))
+	assert.NilError(t, err)
+	if parts[2] != "-" {
+		r.Header.Set("Authorization", "Bearer "+parts[2])
+	}
+	if k, v, ok := strings.Cut(parts[5], "="); ok {
+		r.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	assert.NilError(t, err)
+	var got refusal
+	assert.NilError(t, json.Unmarshal(data, &got), "%s: %s", line, data)
+	field := parts[1]
+	if field == "-" {
+		field = ""
+	}
+	assert.DeepEqual(t, got, refusal{Status: status, Ran: fault.NotRun, Field: field})
+	assert.Equal(t, resp.StatusCode, status, line)
+}
+
+// TestRacingOperators has two operators change the same plan on two hosts. One
+// wins, the other learns who, and a repetition of either changes nothing.
+func TestRacingOperators(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 2, workers: 2})
+	c.team("lab", 4000)
+	base := c.hosts[0].cell.State().VersionOf("plan/lab")
+	for round := range 5 {
+		edits := []config.Edit{
+			{ID: fmt.Sprintf("kim%d", round), By: "kim", Kind: config.SetPlan, Name: "lab", Share: 2, Base: base},
+			{ID: fmt.Sprintf("lee%d", round), By: "lee", Kind: config.SetPlan, Name: "lab", Share: 3, Base: base},
+		}
+		errs := make([]error, len(edits))
+		var wg sync.WaitGroup
+		for i, e := range edits {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				_, errs[i] = send[config.Result](c.hosts[i], "", http.MethodPost, "/edits", e)
+			}()
+		}
+		wg.Wait()
+		winner := 0
+		if errs[0] != nil {
+			winner = 1
+		}
+		assert.NilError(t, errs[winner])
+		loser := fault.From(errs[1-winner])
+		assert.Equal(t, loser.Code, fault.Conflict)
+		assert.Assert(t, strings.Contains(loser.Detail, edits[winner].By), loser.Detail)
+		again, err := send[config.Result](c.hosts[1-winner], "", http.MethodPost, "/edits", edits[winner])
+		assert.NilError(t, err)
+		assert.Assert(t, again.Accepted)
+		base = again.Version
+		until(t, "both hosts agree", func() bool {
+			a, b := c.hosts[0].cell.State().Plans["lab"], c.hosts[1].cell.State().Plans["lab"]
+			return a == b && a.Version == base
+		})
+	}
+}
+
+// TestTruncatedRetention restarts all hosts after retention has dropped the
+// beginning of every stream. Configuration, jobs and results survive in the
+// snapshots.
+func TestTruncatedRetention(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 2, workers: 4, timing: "snapshot = 1s"})
+	c.team("lab", 8000)
+	j := c.submit(c.hosts[0], "lab", testSpec("survey", 50).WithSubmission("first"))
+	until(t, "the job is done", func() bool { return c.state(c.hosts[0], j.ID) == jobs.Done })
+	group, _ := j.ID.Group()
+	until(t, "both streams hold a snapshot behind the job", func() bool {
+		return c.hosts[0].cell.sinceSnapshot() == 0 && snapshotted(c, group)
+	})
+	for _, h := range c.hosts {
+		h.Kill()
+	}
+	c.hosts = nil
+	c.log.Set(fakes.LogSwitch{KeepLast: 2})
+	assert.Assert(t, c.log.Records(config.Stream)[0].Offset > 0, "nothing was dropped")
+	c.log.Set(fakes.LogSwitch{})
+	h := c.start(0, "")
+	until(t, "the new host is ready", func() bool { return h.Ready() == nil })
+	until(t, "the job is known", func() bool { return c.state(h, j.ID) == jobs.Done })
+	again := c.submit(h, "lab", testSpec("survey", 50).WithSubmission("first"))
+	assert.Equal(t, again.ID, j.ID)
+	assert.Equal(t, len(c.fleet.Runs()), 1)
+}
+
+// snapshotted reports whether the newest snapshot of a group has no records
+// behind it.
+func snapshotted(c *testCell, name string) bool {
+	for _, h := range c.hosts {
+		if g := h.owned(name); g != nil {
+			n, _ := g.SinceSnapshot()
+			return n == 0
+		}
+	}
+	return false
+}
+
+// TestLimitInForce fills a team's limit from all hosts, lowers it, and checks
+// what really ran.
+func TestLimitInForce(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 3, workers: 6})
+	c.team("lab", 6000)
+	for i := range 30 {
+		c.submit(c.hosts[i%3], "lab", testSpec("survey", 400))
+	}
+	until(t, "the limit is reached", func() bool { return running(c) == 6 })
+	c.edit(c.hosts[0], config.Edit{
+		ID: "lower", Kind: config.SetPlan, Name: "lab", Share: 1, Limit: jobs.Size{CPU: 2000, Mem: jobs.Unlimited},
+	})
+	lowered := time.Now()
+	until(t, "the lower limit is in force", func() bool { return running(c) <= 2 })
+	assert.Assert(t, time.Since(lowered) < 4*time.Second, "it took %s", time.Since(lowered))
+	until(t, "all jobs are done", func() bool { return finished(c) == 30 })
+	assert.Assert(t, peak(c, 0) <= 6, "%d ran at once", peak(c, 0))
+	assert.Assert(t, peak(c, lowered.Add(4*time.Second).UnixMilli()) <= 2)
+}
+
+func running(c *testCell) int {
+	n := 0
+	for _, r := range c.fleet.Runs() {
+		if r.EndMs == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+func finished(c *testCell) int {
+	n := 0
+	for _, r := range c.fleet.Runs() {
+		if r.End == worker.EndOK {
+			n++
+		}
+	}
+	return n
+}
+
+// peak returns the most tasks that ran at once at or after an instant.
+func peak(c *testCell, fromMs int64) int {
+	runs := c.fleet.Runs()
+	most := 0
+	for _, at := range runs {
+		n := 0
+		for _, r := range runs {
+			if at.StartMs >= fromMs && r.StartMs <= at.StartMs && (r.EndMs == 0 || r.EndMs > at.StartMs) {
+				n++
+			}
+		}
+		most = max(most, n)
+	}
+	return most
+}
+
+// TestParkedTask loses the worker of a task that may run only once. The task
+// is parked, not run again, until an operator decides.
+func TestParkedTask(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 2, workers: 4})
+	c.team("lab", 8000)
+	j := c.submit(c.hosts[0], "lab", testSpec("survey", 60_000))
+	until(t, "the task runs", func() bool { return running(c) == 1 })
+	c.fleet.Set(fakes.WorkerSwitch{Worker: c.fleet.Runs()[0].Worker, Dead: true})
+	until(t, "the task is parked", func() bool { return c.state(c.hosts[1], j.ID) == jobs.Parked })
+	assert.Equal(t, len(c.fleet.Runs()), 1)
+	req := SettleRequest{Task: string(j.ID) + "/0", Action: jobs.SettleDone}
+	a, err := send[JobAnswer](c.hosts[1], "", http.MethodPost, "/settle", req)
+	assert.NilError(t, err)
+	assert.Equal(t, a.State, jobs.Done)
+	_, err = send[JobAnswer](c.hosts[1], "", http.MethodPost, "/settle", req)
+	assert.Equal(t, fault.From(err).Code, fault.Conflict)
+}
+
+// TestLostWorkerReruns loses the worker of an idempotent task, which runs again
+// elsewhere only after the lease has run out.
+func TestLostWorkerReruns(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 2, workers: 4})
+	c.team("lab", 8000)
+	spec := testSpec("survey", 1000)
+	spec.Idempotent = true
+	j := c.submit(c.hosts[0], "lab", spec)
+	until(t, "the task runs", func() bool { return running(c) == 1 })
+	c.fleet.Set(fakes.WorkerSwitch{Worker: c.fleet.Runs()[0].Worker, Paused: true})
+	until(t, "the job is done", func() bool { return c.state(c.hosts[0], j.ID) == jobs.Done })
+	runs := c.fleet.Runs()
+	assert.Assert(t, len(runs) <= 2, "%d runs", len(runs))
+	if len(runs) == 2 {
+		assert.Assert(t, runs[0].EndMs > 0 && runs[1].EndMs > 0)
+		a, b := runs[0], runs[1]
+		assert.Assert(t, a.EndMs <= b.StartMs || b.EndMs <= a.StartMs, "the task ran in two places")
+	}
+}
+
+// TestFreshness goes through the table of docs/design/0004-freshness.md: when
+// a host may act on its configuration.
+func TestFreshness(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 3, workers: 3, timing: "freshFor = 300ms\nsuspectAfter = 900ms\ngossip = 50ms"})
+	fresh := func(i int) bool { return c.hosts[i].cell.Fresh() == nil }
+	steady := func(what string, ok func() bool) {
+		t.Helper()
+		until(t, what, ok)
+		for range 20 {
+			time.Sleep(20 * time.Millisecond)
+			if !ok() {
+				t.Errorf("no longer so: %s", what)
+				return
+			}
+		}
+	}
+	steady("all read the log: all are fresh", func() bool { return fresh(0) && fresh(1) && fresh(2) })
+
+	c.log.Set(fakes.LogSwitch{Outage: true})
+	until(t, "the configuration ages", func() bool {
+		age, _ := c.hosts[0].cell.Age()
+		return age > time.Second
+	})
+	steady("the log is down for all, and all hear each other: all are fresh", func() bool { return fresh(0) && fresh(1) && fresh(2) })
+
+	c.hosts[2].Kill()
+	until(t, "a host is silent while the log is down: the others are not fresh", func() bool { return !fresh(0) && !fresh(1) })
+	c.log.Set(fakes.LogSwitch{})
+	steady("the log is back: the others are fresh", func() bool { return fresh(0) && fresh(1) })
+}
+
+// TestCutOffHost cuts one host off from its peers and the log. It refuses
+// requests with keys, while the others go on.
+func TestCutOffHost(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 3, workers: 6, timing: "freshFor = 300ms\nsuspectAfter = 900ms\ngossip = 50ms"})
+	c.team("lab", 8000)
+	cut(c, 0, true)
+	c.gates[0].cut.Store(true)
+	until(t, "the cut-off host is not ready", func() bool { return c.hosts[0].Ready() != nil })
+	_, err := send[jobs.Job](c.hosts[0], "lab.secret", http.MethodPost, "/jobs", testSpec("survey", 10))
+	assert.Equal(t, fault.From(err).Code, fault.Unavailable)
+	assert.Equal(t, fault.RanOf(err), fault.NotRun)
+	c.edit(c.hosts[1], config.Edit{ID: "out", Kind: config.WithdrawKey, Name: "lab"})
+	until(t, "the withdrawn key is refused", func() bool {
+		_, err := send[jobs.Job](c.hosts[2], "lab.secret", http.MethodPost, "/jobs", testSpec("survey", 10))
+		return fault.Is(err, fault.Denied)
+	})
+	cut(c, 0, false)
+	until(t, "its peers bring the host up to date without the log", func() bool {
+		_, err := c.hosts[0].cell.State().TeamOfKey("lab.secret")
+		return fault.Is(err, fault.Denied) && c.hosts[0].Ready() == nil
+	})
+	assert.Equal(t, len(c.fleet.Runs()), 0)
+}
+
+func cut(c *testCell, i int, on bool) {
+	for j, h := range c.hosts {
+		if j != i {
+			h.Cut(c.hosts[i].Peer(), on)
+			c.hosts[i].Cut(h.Peer(), on)
+		}
+	}
+}
+
+// TestStopFinishesCalls stops a host gracefully while calls are under way. All
+// of them are answered.
+func TestStopFinishesCalls(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 2, workers: 2})
+	c.team("lab", 4000)
+	c.execs.Set(fakes.ExecSwitch{LateMs: 300})
+	const calls = 20
+	errs := make(chan error, calls)
+	for i := range calls {
+		go func() {
+			r, _ := http.NewRequest(http.MethodPost, c.hosts[0].API()+"/call/triage", strings.NewReader("x"))
+			r.Header.Set("Authorization", "Bearer lab.secret")
+			r.Header.Set(HeaderCallID, fmt.Sprint("c", i))
+			resp, err := http.DefaultClient.Do(r)
+			if err == nil {
+				defer resp.Body.Close()
+				if resp.Header.Get(HeaderRan) != string(fault.Done) {
+					data, _ := io.ReadAll(resp.Body)
+					err = fmt.Errorf("status %d: %s", resp.StatusCode, data)
+				}
+			}
+			errs <- err
+		}()
+	}
+	until(t, "the calls run", func() bool { return len(c.execs.Executions()) >= calls/2 })
+	ctx, cancel := context.WithTimeout(context.Background(), pollBound)
+	defer cancel()
+	assert.NilError(t, c.hosts[0].Stop(ctx))
+	for range calls {
+		assert.NilError(t, <-errs)
+	}
+	assert.Equal(t, len(c.execs.Executions()), calls)
+}
--- /dev/null
+++ b/internal/node/entry/gate_test.go
@@ -0,0 +1,29 @@
+package entry
+
+import (
+	"context"
+	"sync/atomic"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/plat/stream"
+)
+
+// gatedLog is a log that can be cut off.
+type gatedLog struct {
+	stream.Log
+	cut atomic.Bool
+}
+
+func (g *gatedLog) Append(ctx context.Context, name string, data []byte) (int64, error) {
+	if g.cut.Load() {
+		return 0, fault.New(fault.Unavailable, fault.NotRun, "the log is cut off")
+	}
+	return g.Log.Append(ctx, name, data)
+}
+
+func (g *gatedLog) Read(ctx context.Context, req stream.ReadRequest) (stream.Page, error) {
+	if g.cut.Load() {
+		return stream.Page{}, fault.New(fault.Unavailable, fault.NotRun, "the log is cut off")
+	}
+	return g.Log.Read(ctx, req)
+}
--- /dev/null
+++ b/internal/node/entry/main_test.go
@@ -0,0 +1,10 @@
+package entry
+
+import (
+	"os"
+	"testing"
+
+	"lagooncourse/internal/base/seeds"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeds.Run(m)) }
--- a/internal/node/owner/commit.go
+++ b/internal/node/owner/commit.go
@@ -147,14 +147,13 @@
 // readBack finds out whether the batch has been applied or has become void.
 // Neither is settled while the log is silent or the batch is not in it yet.
 func (g *Group) readBack(ctx context.Context, b group.Batch) (verdict error, settled bool) {
-	p, err := g.cfg.Log.Read(ctx, stream.ReadRequest{Stream: g.replay.Stream, From: g.replay.Next()})
+	err := g.catchUp(ctx, g.replay)
 	g.noteLog(err)
 	if err != nil {
 		return nil, false
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.replay.Take(p)
 	g.committed()
 	applied, settled := g.state.Verdict(b.Epoch, b.Seq)
 	if g.state.Epoch != b.Epoch {
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -342,7 +342,10 @@
 // catchUp reads to the end of the stream. It takes the lock only to apply.
 func (g *Group) catchUp(ctx context.Context, replay *stream.Replay) error {
 	for {
-		p, err := g.cfg.Log.Read(ctx, stream.ReadRequest{Stream: replay.Stream, From: replay.Next()})
+		g.mu.Lock()
+		from := replay.Next()
+		g.mu.Unlock()
+		p, err := g.cfg.Log.Read(ctx, stream.ReadRequest{Stream: replay.Stream, From: from})
 		if err != nil {
 			return err
 		}
--- a/internal/node/owner/house.go
+++ b/internal/node/owner/house.go
@@ -50,11 +50,24 @@
 		g.log.V(1).Info("snapshot not appended", "err", err.Error())
 		return
 	}
+	// Reading the snapshot back restarts the count of records since the newest
+	// one; an idle group would otherwise append another at every interval.
+	if err := g.catchUp(ctx, g.replay); err != nil {
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.snapAt = g.cfg.Clock.Now()
 }
 
+// SinceSnapshot returns the records and their bytes since the group's newest
+// snapshot.
+func (g *Group) SinceSnapshot() (records, bytes int64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.replay.SinceSnapshot()
+}
+
 func (g *Group) forgetOld() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
