Measure what each role costs and work out the planned size

Found by it: heartbeats carried the boot time in milliseconds (9 bytes); in units of 50 ms since 2026 it takes 5.

--- a/internal/node/entry/host.go
+++ b/internal/node/entry/host.go
@@ -128,7 +128,7 @@
 	h.table = peers.NewTable(peers.Config{
 		Self: wire.Member{
 			ID: h.set.Host.ID, Addr: h.frames.Addr(), API: h.api.URL(), Az: h.set.Host.Az,
-			Boot: h.clock.Now().UnixMilli(),
+			Boot: bootNumber(h.clock.Now()),
 		},
 		SuspectAfter:  h.set.Timing.SuspectAfter,
 		ForgetAfter:   forgetMember,
@@ -154,6 +154,13 @@
 	h.log.Info("started", "api", h.api.Addr(), "peer", h.frames.Addr(), "az", h.set.Host.Az)
 }
 
+// bootNumber orders the lives of one host: units of 50 ms since 2026, which
+// take 5 bytes in a heartbeat where milliseconds take 9.
+func bootNumber(t time.Time) int64 {
+	base := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	return t.Sub(base).Milliseconds() / 50
+}
+
 const (
 	forgetMember  = time.Minute
 	gossipPeers   = 1
--- a/internal/node/wire/wire.go
+++ b/internal/node/wire/wire.go
@@ -48,7 +48,7 @@
 // what changes all the time, and is kept small.
 type Beat struct {
 	ID        string
-	Boot      int64  // start time in milliseconds; orders the lives of one id
+	Boot      int64  // orders the lives of one id
 	Beat      uint64 //
 	Version   uint64 // of the member's description
 	CellNext  int64  // next offset of the configuration that it will read
--- /dev/null
+++ b/internal/tool/gauge/pure.go
@@ -0,0 +1,277 @@
+package gauge
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"time"
+
+	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/cell/books"
+	"lagooncourse/internal/cell/config"
+	"lagooncourse/internal/cell/group"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/cell/queue"
+	"lagooncourse/internal/node/wire"
+	"lagooncourse/internal/plat/stream"
+	"lagooncourse/internal/plat/worker"
+)
+
+// This file measures the parts whose cost can be seen without a daemon.
+
+// minTimed is how long a timed loop runs at the least.
+const minTimed = 100 * time.Millisecond
+
+// timed returns the time of one call of fn in nanoseconds, as the mean over at
+// least minTimed.
+func timed(fn func(i int)) float64 {
+	n := 0
+	start := time.Now()
+	for time.Since(start) < minTimed {
+		for range 16 {
+			fn(n)
+			n++
+		}
+	}
+	return float64(time.Since(start).Nanoseconds()) / float64(n)
+}
+
+// heap returns the bytes that build's result keeps alive.
+func heap(build func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	v := build()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(v)
+	return float64(after.HeapAlloc) - float64(before.HeapAlloc)
+}
+
+func mustEncode(v any) []byte {
+	data, err := frame.Encode(v)
+	if err != nil {
+		panic(err) // every value encoded here is a plain struct
+	}
+	return data
+}
+
+// points measures y at each size.
+func points(sizes []int, y func(n int) float64) []Point {
+	list := make([]Point, len(sizes))
+	for i, n := range sizes {
+		list[i] = Point{X: float64(n), Y: y(n)}
+	}
+	return list
+}
+
+func spec(i int) jobs.Spec {
+	return jobs.Spec{
+		Name: fmt.Sprintf("family%d", i%50), Kind: jobs.Batch, Team: fmt.Sprintf("team%d", i%94), Queue: "default",
+		Submission: fmt.Sprintf("submission-%d", i), Tasks: 1, Size: jobs.Size{CPU: 2000, Mem: 4096}, RunMs: 60_000,
+	}
+}
+
+// filled returns a group with n waiting jobs.
+func filled(n int) *group.State {
+	s := group.NewState("az1-0")
+	s.ApplyBatch(group.Batch{Epoch: 1, Claim: &group.Holder{Host: "e1"}})
+	for i := range n {
+		s.ApplyBatch(group.Batch{Epoch: 1, Seq: uint64(i + 1), Records: []group.Record{{Submit: &group.Submit{Spec: spec(i), AtMs: 1}}}})
+	}
+	return s
+}
+
+// startAndEnd returns the records of one task start: its intent and its end.
+func startAndEnd(i int) []group.Record {
+	ref := jobs.Ref{Job: jobs.NewID("az1-0", int64(i+1))}
+	return []group.Record{
+		{Start: &group.Start{Ref: ref, Attempt: 1, Site: jobs.Site{Group: "az1-0", Worker: "w0123", Boot: 1796363709761}, AtMs: 1796363709761}},
+		{End: &jobs.End{Ref: ref, Attempt: 1, How: jobs.EndOK, Result: "done", AtMs: 1796363709761}},
+	}
+}
+
+// recordBytes measures what a batch with n starts and ends adds to the log.
+func recordBytes() Slope {
+	return Fit("log bytes of a batch", "starts in the batch", "bytes", points([]int{1, 10, 100, 1000}, func(n int) float64 {
+		b := group.Batch{Epoch: 12, Seq: 100_000}
+		for i := range n {
+			b.Records = append(b.Records, startAndEnd(i)...)
+		}
+		data, err := stream.EncodeRecord(mustEncode(b))
+		if err != nil {
+			panic(err) // the entry is a plain struct
+		}
+		return float64(len(data))
+	}))
+}
+
+func jobMemory() Slope {
+	return Fit("memory of jobs", "jobs of a group", "bytes", points([]int{1000, 5000, 20_000}, func(n int) float64 {
+		return heap(func() any { return filled(n) })
+	}))
+}
+
+func snapshotBytes() Slope {
+	return Fit("snapshot of a group", "jobs of a group", "bytes", points([]int{1000, 5000, 20_000}, func(n int) float64 {
+		data, err := filled(n).Snapshot()
+		if err != nil {
+			panic(err) // the image is a plain struct
+		}
+		return float64(len(data))
+	}))
+}
+
+// applyTime measures the decoding and applying of n starts and ends.
+func applyTime() Slope {
+	return Fit("apply a batch", "starts in the batch", "ns", points([]int{1, 10, 100}, func(n int) float64 {
+		s := filled(n)
+		b := group.Batch{Epoch: 1}
+		for i := range n {
+			b.Records = append(b.Records, startAndEnd(i)...)
+		}
+		return timed(func(int) {
+			b.Seq = s.Seq + 1
+			s.Apply(0, mustEncode(b))
+		})
+	}))
+}
+
+// decideTime measures the choice of the next item among the shapes that wait.
+func decideTime() Slope {
+	return Fit("choose the next item", "shapes that wait", "ns", points([]int{10, 100, 500}, func(shapes int) float64 {
+		q := queue.New(queue.Config{})
+		for i := range shapes * 20 {
+			q.Add(queue.Item{
+				Ref: jobs.Ref{Job: jobs.NewID("g", int64(i+1))}, Team: fmt.Sprint("t", i%shapes%teams), Kind: jobs.Batch,
+				Size: jobs.Size{CPU: int64(1 + i%shapes/teams)}, Count: 1, AtMs: int64(i),
+			})
+		}
+		p := q.Pass(queue.View{Fleet: jobs.Size{CPU: 1000}, Used: map[string]jobs.Size{}, Share: map[string]int64{}})
+		return timed(func(int) { p.Next() })
+	}))
+}
+
+// reserveTime measures a reservation among the workers of a group.
+func reserveTime() Slope {
+	return Fit("reserve room", "workers of a group", "ns", points([]int{20, 80, 320}, func(n int) float64 {
+		b := books.New()
+		var list []books.Worker
+		for i := range n {
+			list = append(list, books.Worker{ID: fmt.Sprintf("w%04d", i), Cap: jobs.Size{CPU: 64_000, Mem: 131_072}})
+		}
+		b.SetWorkers(list)
+		for _, w := range list {
+			b.Inventory(w.ID, books.Inventory{})
+		}
+		return timed(func(i int) {
+			at := books.Attempt{Task: fmt.Sprint(i), Number: 1}
+			b.Reserve(books.Ask{Attempt: at, Kind: jobs.Batch, Size: jobs.Size{CPU: 2000, Mem: 4096}}, 0)
+			b.Cancel(at)
+		})
+	}))
+}
+
+// renewalBytes measures both directions of one renewal of a worker.
+func renewalBytes() Slope {
+	return Fit("renewal of a worker", "tasks on the worker", "bytes", points([]int{0, 6, 20}, func(n int) float64 {
+		req, err := json.Marshal(worker.RenewRequest{Token: worker.Token{Epoch: 12, Seq: 100_000}, TTLMs: 8000, Since: 1000, WaitMs: 2000})
+		if err != nil {
+			panic(err) // plain structs
+		}
+		data, err := json.Marshal(inventory(n))
+		if err != nil {
+			panic(err) // plain structs
+		}
+		return float64(len(req) + len(data))
+	}))
+}
+
+func inventory(n int) worker.Inventory {
+	inv := worker.Inventory{Boot: 1796363709761, Version: 1000}
+	for i := range n {
+		inv.Running = append(inv.Running, worker.Running{
+			Attempt: worker.Attempt{Task: fmt.Sprintf("az1-0.%d/0", 10_000+i), Number: 1}, Home: "az1-0", Family: "family12",
+			Class: "batch", CPU: 2000, Mem: 4096, UsedCPU: 1800, UsedMem: 3000,
+		})
+	}
+	return inv
+}
+
+// renewalTime measures the decoding of an inventory and its entry in the books.
+func renewalTime() Slope {
+	return Fit("take an inventory", "tasks on the worker", "ns", points([]int{0, 6, 20}, func(n int) float64 {
+		data, err := json.Marshal(inventory(n))
+		if err != nil {
+			panic(err) // plain structs
+		}
+		b := books.New()
+		b.SetWorkers([]books.Worker{{ID: "w", Cap: jobs.Size{CPU: 64_000, Mem: 131_072}}})
+		return timed(func(int) {
+			var inv worker.Inventory
+			if err := json.Unmarshal(data, &inv); err != nil {
+				panic(err) // encoded above
+			}
+			in := books.Inventory{Boot: inv.Boot}
+			for _, r := range inv.Running {
+				in.Seen = append(in.Seen, books.Seen{
+					Attempt: books.Attempt{Task: r.Attempt.Task, Number: r.Attempt.Number}, Home: r.Home,
+					Kind: jobs.Kind(r.Class), Size: jobs.Size{CPU: r.CPU, Mem: r.Mem},
+				})
+			}
+			b.Inventory("w", in)
+		})
+	}))
+}
+
+// descriptionBytes measures the description of a host with one group.
+func descriptionBytes() Slope {
+	return Fit("description of an entry host", "teams with work in its group", "bytes", points([]int{6, 30, 94}, func(n int) float64 {
+		d := wire.Duty{Group: "az1-0", Epoch: 12, Az: "az1", Used: map[string]jobs.Size{}, Waiting: map[string]jobs.Size{}}
+		for i := range n {
+			d.Used[fmt.Sprint("team", i)] = jobs.Size{CPU: 60_000, Mem: 120_000}
+			d.Waiting[fmt.Sprint("team", i)] = jobs.Size{CPU: 60_000, Mem: 120_000}
+		}
+		return float64(len(mustEncode(wire.Member{
+			ID: "e01", Addr: "10.0.0.1:7400", API: "http://10.0.0.1:7300", Az: "az1", Boot: 1796363709761, Version: 1000,
+			Groups: []wire.Duty{d}, Pools: []wire.Pool{{Group: "az1-0", Az: "az1", Service: "triage", Slots: 64, Busy: 20}},
+		})))
+	}))
+}
+
+// edit returns the record that gives the ith key.
+func edit(i int) config.Record {
+	return config.Record{Edit: &config.Edit{
+		ID: fmt.Sprintf("edit-%d", i), Kind: config.GiveKey, Name: fmt.Sprintf("key%d", i), By: "operator",
+		Team: fmt.Sprintf("team%d", i%94), Secret: config.HashSecret("s"),
+	}}
+}
+
+func configured(n int) *config.Machine {
+	m := config.NewMachine()
+	for i := range n {
+		m.Apply(int64(i), mustEncode(edit(i)))
+	}
+	return m
+}
+
+func configMemory() Slope {
+	return Fit("memory of the configuration", "edits in it", "bytes", points([]int{200, 1000, 4000}, func(n int) float64 {
+		return heap(func() any { return configured(n) })
+	}))
+}
+
+func configTime() Slope {
+	return Fit("apply an edit", "edits before it", "ns", points([]int{200, 1000, 4000}, func(n int) float64 {
+		m := configured(n)
+		data := make([][]byte, 256)
+		for i := range data {
+			data[i] = mustEncode(edit(n + i))
+		}
+		start := time.Now()
+		for i, d := range data {
+			m.Apply(int64(n+i), d)
+		}
+		return float64(time.Since(start).Nanoseconds()) / float64(len(data))
+	}))
+}
