--- a/internal/node/entry/bench_test.go
+++ b/internal/node/entry/bench_test.go
@@ -3,14 +3,19 @@
 import (
 	"fmt"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"gotest.tools/v3/assert"
 
+	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/plat/fakes"
 )
 
 // BenchmarkSubmit offers 1,000 submissions a second to one entry host of three,
@@ -57,3 +62,81 @@
 		assert.Assert(b, h.TotalCount() > 0)
 	}
 }
+
+// BenchmarkTakeover kills the owner of a group and measures the time until
+// another host owns it and until it has taken the inventory of its workers.
+func BenchmarkTakeover(b *testing.B) {
+	h := hdrhistogram.New(1, time.Minute.Milliseconds(), 3)
+	for b.Loop() {
+		c := startTestCell(b, testCellConfig{hosts: 3, workers: 12})
+		until(b, "every group has an owner", func() bool {
+			return len((&remote{h: c.hosts[0]}).Duties()) == len(testAzs)
+		})
+		victim := c.hosts[2]
+		names := victim.epochs()
+		start := time.Now()
+		victim.Kill()
+		until(b, "others own its groups", func() bool {
+			for name := range names {
+				if c.hosts[0].owned(name) == nil && c.hosts[1].owned(name) == nil {
+					return false
+				}
+			}
+			return true
+		})
+		_ = h.RecordValue(time.Since(start).Milliseconds())
+		c.close()
+	}
+	b.ReportMetric(float64(h.ValueAtQuantile(50)), "p50-ms")
+	b.ReportMetric(float64(h.Max()), "max-ms")
+}
+
+// BenchmarkOutage measures how many calls are answered in each second while
+// the log is down, as a share of those before.
+func BenchmarkOutage(b *testing.B) {
+	for _, idempotent := range []bool{true, false} {
+		b.Run(fmt.Sprintf("idempotent=%t", idempotent), func(b *testing.B) {
+			c := startTestCell(b, testCellConfig{hosts: 3, workers: 6})
+			c.team("lab", 8000)
+			knowEachOther(c)
+			for b.Loop() {
+				before := answered(c, idempotent, "before")
+				c.log.Set(fakes.LogSwitch{Outage: true})
+				during := answered(c, idempotent, "during")
+				c.log.Set(fakes.LogSwitch{})
+				b.ReportMetric(float64(before), "before")
+				b.ReportMetric(float64(during), "during")
+			}
+		})
+	}
+}
+
+// answered makes 100 calls a second for 5 s and counts the answers.
+func answered(c *testCell, idempotent bool, salt string) int64 {
+	const calls = 500
+	var done atomic.Int64
+	var wg sync.WaitGroup
+	start := time.Now()
+	for i := range calls {
+		time.Sleep(time.Until(start.Add(time.Duration(i) * 10 * time.Millisecond)))
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			r, _ := http.NewRequest(http.MethodPost, c.hosts[i%3].API()+"/call/triage", strings.NewReader("x"))
+			r.Header.Set("Authorization", "Bearer lab.secret")
+			r.Header.Set(HeaderCallID, fmt.Sprintf("%s-%t-%d-%d", salt, idempotent, start.UnixNano(), i))
+			r.Header.Set(HeaderIdempotent, strconv.FormatBool(idempotent))
+			r.Header.Set(HeaderTimeout, "1000")
+			resp, err := http.DefaultClient.Do(r)
+			if err != nil {
+				return
+			}
+			defer resp.Body.Close()
+			if resp.Header.Get(HeaderRan) == string(fault.Done) {
+				done.Add(1)
+			}
+		}()
+	}
+	wg.Wait()
+	return done.Load()
+}
