--- a/internal/cell/queue/policy.go
+++ b/internal/cell/queue/policy.go
@@ -10,7 +10,13 @@
 	MaxWaitMs int64 // milliseconds; 0 means 10 minutes
 }
 
-var _ Policy = Fair{}
+var (
+	_ Policy    = Fair{}
+	_ Preemptor = Fair{}
+)
+
+// Preempts implements Preemptor.
+func (Fair) Preempts() bool { return true }
 
 const defaultMaxWaitMs = 10 * 60 * 1000
 
--- a/internal/cell/queue/queue.go
+++ b/internal/cell/queue/queue.go
@@ -77,6 +77,17 @@
 	Less(a, b Candidate, v *View) bool
 }
 
+// Preemptor is implemented by policies under which running work may be stopped,
+// with its state kept, for work that matters more.
+type Preemptor interface {
+	// Preempts reports whether batch gives way to urgent work, and work of
+	// teams above their share to teams below it.
+	Preempts() bool
+}
+
+// Policies lists the policies by the name under which they can be asked for.
+var Policies = map[string]Policy{"fair": Fair{}, "fifo": FIFO{}}
+
 // Candidate is the oldest item of a shape, with its team's present usage.
 type Candidate struct {
 	Item Item
--- a/internal/node/entry/host.go
+++ b/internal/node/entry/host.go
@@ -30,6 +30,7 @@
 	"lagooncourse/internal/base/httpd"
 	"lagooncourse/internal/cell/config"
 	"lagooncourse/internal/cell/group"
+	"lagooncourse/internal/cell/queue"
 	"lagooncourse/internal/node/owner"
 	"lagooncourse/internal/node/peers"
 	"lagooncourse/internal/node/route"
@@ -44,8 +45,9 @@
 type Config struct {
 	Settings Settings
 	Logger   logr.Logger
-	Clock    clock.Clock // nil means the system's
-	Log      stream.Log  // nil means the log service of the settings
+	Clock    clock.Clock  // nil means the system's
+	Log      stream.Log   // nil means the log service of the settings
+	Policy   queue.Policy // nil means queue.Fair
 }
 
 // Host is a running entry host.
@@ -313,7 +315,7 @@
 	g := owner.New(owner.Config{
 		Name: name, Az: az, Self: group.Holder{Host: h.set.Host.ID, Addr: h.frames.Addr()},
 		Log: h.cfg.Log, Cell: h.cell, Remote: &remote{h: h}, Clock: h.clock, Logger: h.cfg.Logger,
-		Timing: h.set.owner(),
+		Timing: h.set.owner(), Policy: h.cfg.Policy,
 		Dial: func(w hosts.Worker) worker.Worker {
 			return worker.NewClient(worker.ClientConfig{URL: w.URL})
 		},
--- a/internal/node/owner/evict.go
+++ b/internal/node/owner/evict.go
@@ -22,7 +22,7 @@
 // evict makes room on one of the group's workers for an urgent plan. The
 // caller holds the lock.
 func (g *Group) evict(pl *plan, cell *config.State) {
-	if pl.item.Kind != jobs.Urgent || len(pl.asks) != 1 || !g.azFits(pl.item, cell) {
+	if !g.preempts() || pl.item.Kind != jobs.Urgent || len(pl.asks) != 1 || !g.azFits(pl.item, cell) {
 		return
 	}
 	now := g.nowMs()
@@ -31,6 +31,12 @@
 	g.stopAll(victims)
 }
 
+// preempts reports whether the policy lets running work be stopped.
+func (g *Group) preempts() bool {
+	p, ok := g.cfg.Policy.(queue.Preemptor)
+	return ok && p.Preempts()
+}
+
 // stopAll asks for the end of attempts on the group's own workers.
 func (g *Group) stopAll(list []books.Attempt) {
 	for _, at := range list {
@@ -53,6 +59,9 @@
 // caller holds the lock.
 func (g *Group) overShare() map[jobs.Ref]bool {
 	over := map[jobs.Ref]bool{}
+	if !g.preempts() {
+		return over
+	}
 	view, waiting := g.view(g.cfg.Cell.State())
 	if !g.fleetFull(view.Fleet) {
 		return over
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -107,8 +107,8 @@
 	Clock  clock.Clock
 	Logger logr.Logger
 	Timing Timing
-	Policy queue.Policy
-	Down   func(error) // told of the log's failures, with nil when it answers again; may be nil
+	Policy queue.Policy // nil means queue.Fair
+	Down   func(error)  // told of the log's failures, with nil when it answers again; may be nil
 }
 
 // Group is one group on one entry host.
@@ -166,6 +166,9 @@
 
 // New returns a group that does not run yet.
 func New(cfg Config) *Group {
+	if cfg.Policy == nil {
+		cfg.Policy = queue.Fair{}
+	}
 	g := &Group{
 		cfg:  cfg,
 		log:  cfg.Logger.WithName("owner").WithValues("group", cfg.Name),
--- a/internal/plat/fakes/worker.go
+++ b/internal/plat/fakes/worker.go
@@ -371,7 +371,7 @@
 	for {
 		inv, next := w.inventory()
 		if inv.Version != req.Since || changed == nil {
-			if inv.Version == req.Since {
+			if req.Since > 0 && inv.Version == req.Since {
 				inv = worker.Inventory{Same: true, Boot: inv.Boot, Version: inv.Version}
 			}
 			httpd.WriteJSON(rw, inv)
--- a/internal/plat/worker/worker.go
+++ b/internal/plat/worker/worker.go
@@ -64,7 +64,7 @@
 type RenewRequest struct {
 	Token  Token     `json:"token"` // Seq is the floor: starts below it are refused from now on
 	TTLMs  int64     `json:"ttlMs"` // lease from now on, in milliseconds; 0 extends nothing
-	Since  uint64    `json:"since"` // version of the last answer; the worker waits for a newer one
+	Since  uint64    `json:"since"` // version of the last answer; the worker waits for a newer one; 0 asks for all
 	WaitMs int64     `json:"waitMs"`
 	Forget []Attempt `json:"forget,omitempty"` // finished attempts whose result is recorded
 }
--- a/internal/tool/cmds/demo.go
+++ b/internal/tool/cmds/demo.go
@@ -8,6 +8,7 @@
 	"github.com/spf13/cobra"
 
 	"lagooncourse/internal/base/logs"
+	"lagooncourse/internal/cell/queue"
 	"lagooncourse/internal/tool/demo"
 	"lagooncourse/internal/tool/scene"
 )
@@ -20,10 +21,14 @@
 
 func newDemo(f *flags) *cobra.Command {
 	var scenes []string
-	var logPath string
+	var logPath, policyName string
 	cmd := &cobra.Command{
 		Use: "demo", Short: "Run scenarios in one process and judge the promises", Args: exactly(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
+			policy, ok := queue.Policies[policyName]
+			if !ok {
+				return fmt.Errorf("%w: policy %q is not one of %v", errUsage, policyName, sortedKeys(queue.Policies))
+			}
 			log := logs.Discard()
 			if logPath != "" {
 				file, err := os.Create(logPath)
@@ -39,7 +44,7 @@
 				if err != nil {
 					return err
 				}
-				rep, err := demo.Run(contextOf(cmd), demo.Config{Scene: s, Progress: cmd.ErrOrStderr(), Logger: log})
+				rep, err := demo.Run(contextOf(cmd), demo.Config{Scene: s, Progress: cmd.ErrOrStderr(), Logger: log, Policy: policy})
 				if err != nil {
 					return err
 				}
@@ -49,6 +54,7 @@
 		},
 	}
 	cmd.Flags().StringSliceVar(&scenes, "scenario", defaultScenes, fmt.Sprintf("scenario files, or the shipped %v", scene.Shipped()))
+	cmd.Flags().StringVar(&policyName, "policy", "fair", "policy of the queues: fair, or fifo as a baseline")
 	cmd.Flags().StringVar(&logPath, "log", "", "write the entry hosts' log to this file")
 	return cmd
 }
--- a/internal/tool/demo/cell.go
+++ b/internal/tool/demo/cell.go
@@ -25,6 +25,7 @@
 	"lagooncourse/internal/base/httpd"
 	"lagooncourse/internal/cell/config"
 	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/cell/queue"
 	"lagooncourse/internal/node/entry"
 	"lagooncourse/internal/plat/fakes"
 	"lagooncourse/internal/plat/stream"
@@ -37,6 +38,7 @@
 	Scene    scene.Scene
 	Progress io.Writer // gets a line now and then; nil for none
 	Logger   logr.Logger
+	Policy   queue.Policy // nil means queue.Fair
 }
 
 // cell is the running parts of a scenario.
@@ -53,6 +55,7 @@
 type slot struct {
 	settings entry.Settings
 	gate     *gate
+	policy   queue.Policy
 
 	mu    sync.Mutex
 	host  *entry.Host // nil while nothing runs
@@ -96,7 +99,8 @@
 }
 
 // startCell starts the stand-ins and the entry hosts.
-func startCell(s scene.Scene, logger logr.Logger) (c *cell, err error) {
+func startCell(cfg Config) (c *cell, err error) {
+	s := cfg.Scene
 	defer fault.Note(&err, "start cell %q", s.Cell.Name)
 	c = &cell{scene: s}
 	defer func() {
@@ -122,10 +126,10 @@
 	}); err != nil {
 		return c, err
 	}
-	return c, c.startHosts(logger)
+	return c, c.startHosts(cfg)
 }
 
-func (c *cell) startHosts(logger logr.Logger) error {
+func (c *cell) startHosts(cfg Config) error {
 	var first string
 	for i := range c.scene.Cell.Hosts {
 		text := fmt.Sprintf("[host]\nid = e%d\naz = %s\nlisten = 127.0.0.1:0\npeer = 127.0.0.1:1\npeers = %s\n"+
@@ -137,9 +141,9 @@
 		}
 		set.Host.Peer = "127.0.0.1:0"
 		log := stream.NewClient(stream.ClientConfig{URL: c.log.URL(), Timeout: set.Platform.LogTimeout})
-		s := &slot{settings: set, gate: &gate{Log: log}}
+		s := &slot{settings: set, gate: &gate{Log: log}, policy: cfg.Policy}
 		c.slots = append(c.slots, s)
-		if err := s.start(logger); err != nil {
+		if err := s.start(cfg.Logger); err != nil {
 			return err
 		}
 		first = s.host.Peer()
@@ -149,7 +153,7 @@
 
 // start runs an entry host in the slot, at the addresses of the first one.
 func (s *slot) start(logger logr.Logger) error {
-	h, err := entry.Start(entry.Config{Settings: s.settings, Logger: logger, Log: s.gate})
+	h, err := entry.Start(entry.Config{Settings: s.settings, Logger: logger, Log: s.gate, Policy: s.policy})
 	if err != nil {
 		return err
 	}
--- a/internal/tool/demo/idle.go
+++ b/internal/tool/demo/idle.go
@@ -16,7 +16,7 @@
 
 // StartIdle starts a cell and waits until every group has an owner.
 func StartIdle(ctx context.Context, cell scene.Cell, logger logr.Logger) (*Idle, error) {
-	c, err := startCell(scene.Scene{Cell: cell}, logger)
+	c, err := startCell(Config{Scene: scene.Scene{Cell: cell}, Logger: logger})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/tool/demo/run.go
+++ b/internal/tool/demo/run.go
@@ -31,7 +31,7 @@
 // Run runs the scenario and reports on it. A broken promise is part of the
 // report and no error.
 func Run(ctx context.Context, cfg Config) (*Report, error) {
-	c, err := startCell(cfg.Scene, cfg.Logger)
+	c, err := startCell(cfg)
 	if err != nil {
 		return nil, err
 	}
