Take the groups of a host that is cut off from the log

Cause: TestCutFromLog, new, failed: an entry host whose connections to the log were cut kept its groups for over a minute, and their jobs stood still. Two reasons: peers brought its configuration up to date, so it did not count as cut off; and its append, which could never be confirmed, was repeated for ever and kept it from handing the groups over.

Change: hosts tell one another how long ago they read the log themselves; an owner that lags in that is passed over by claimants; an append of a group that the host should not own is given up after 2 s, with an unknown outcome. Urgent work that found no room is tried again after 10 ms instead of 100 ms.

Ruled out: counting a host as cut off when its configuration is old (that rule stays for keys, where a peer's records are as good as the log's).

--- a/cmd/lagooncourse/cluster_test.go
+++ b/cmd/lagooncourse/cluster_test.go
@@ -47,6 +47,7 @@
 	execs string
 	hosts []*hostProc
 	procs []*exec.Cmd
+	relay *relay // between the first entry host and the log
 }
 
 // hostProc is one entry host's process.
@@ -96,15 +97,20 @@
 		c.hosts = append(c.hosts, h)
 		peers = append(peers, h.peer)
 	}
+	c.relay = startRelay(t, logAddr)
 	for i, h := range c.hosts {
-		c.writeHost(h, azs[i%len(azs)], peers)
+		log := c.log
+		if i == 0 {
+			log = "http://" + c.relay.ln.Addr().String()
+		}
+		c.writeHost(h, azs[i%len(azs)], log, peers)
 		c.startHost(h)
 	}
 	c.until("every entry host is ready", c.ready)
 	return c
 }
 
-func (c *cluster) writeHost(h *hostProc, az string, peers []string) {
+func (c *cluster) writeHost(h *hostProc, az, log string, peers []string) {
 	h.path = c.write(h.id+".ini", fmt.Sprintf(`[host]
 id = %s
 az = %s
@@ -121,7 +127,7 @@
 renew = 500ms
 lease = 2s
 margin = 500ms
-`, h.id, az, h.api, h.peer, strings.Join(peers, ", "), c.log, c.fleet, c.execs))
+`, h.id, az, h.api, h.peer, strings.Join(peers, ", "), log, c.fleet, c.execs))
 }
 
 func (c *cluster) write(name, text string) string {
--- a/cmd/lagooncourse/path_test.go
+++ b/cmd/lagooncourse/path_test.go
@@ -322,3 +322,39 @@
 		}
 	}
 }
+
+// TestCutFromLog cuts one entry host's connections to the log while it owns
+// groups, until the others have taken them, and mends them.
+func TestCutFromLog(t *testing.T) {
+	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5})
+	key := c.team("lab", roomy)
+	w := startWorkload(c, key)
+	w.pass(c, 100)
+	c.relay.set(true)
+	c.until("the other hosts own all groups", func() bool { return c.owned(1, 2) == len(azs) })
+	w.pass(c, 100)
+	c.relay.set(false)
+	c.until("the first host owns a group again", func() bool { return c.owned(0) > 0 })
+	w.pass(c, 100)
+	w.finish(c, key)
+}
+
+// TestFreezeAndKill freezes one entry host and kills another while the log
+// loses answers, so that one host is left, and then brings both back.
+func TestFreezeAndKill(t *testing.T) {
+	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5})
+	key := c.team("lab", roomy)
+	w := startWorkload(c, key)
+	w.pass(c, 100)
+	c.set(c.log, fakes.LogSwitch{LoseAnswers: 10, DropAppends: 5})
+	c.hosts[0].signal(t, syscall.SIGSTOP)
+	c.hosts[1].signal(t, syscall.SIGKILL)
+	_ = c.hosts[1].cmd.Wait()
+	c.until("the last host owns all groups", func() bool { return c.owned(2) == len(azs) })
+	w.pass(c, 20)
+	c.startHost(c.hosts[1])
+	c.hosts[0].signal(t, syscall.SIGCONT)
+	c.until("every entry host is ready", c.ready)
+	w.pass(c, 100)
+	w.finish(c, key)
+}
--- a/internal/node/entry/cell.go
+++ b/internal/node/entry/cell.go
@@ -39,6 +39,7 @@
 	mu      sync.Mutex
 	replay  *stream.Replay
 	headAt  time.Time // when the state was last known to be complete
+	readAt  time.Time // the same, from the log itself
 	recent  [][]byte  // the newest records, for peers
 	changed chan struct{}
 }
@@ -82,16 +83,22 @@
 	if err != nil {
 		return err
 	}
-	f.take(p, sent)
+	if f.take(p, sent) {
+		f.mu.Lock()
+		f.readAt = sent
+		f.mu.Unlock()
+	}
 	return nil
 }
 
-// take applies a page that was complete at the instant asOf.
-func (f *follower) take(p stream.Page, asOf time.Time) {
+// take applies a page that was complete at the instant asOf. It reports whether
+// the state is complete now.
+func (f *follower) take(p stream.Page, asOf time.Time) (complete bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.replay.Next()
-	if f.replay.Take(p) && f.replay.Ready() && asOf.After(f.headAt) {
+	complete = f.replay.Take(p) && f.replay.Ready()
+	if complete && asOf.After(f.headAt) {
 		f.headAt = asOf
 	}
 	f.keepRecent(p, before)
@@ -99,6 +106,7 @@
 		close(f.changed)
 		f.changed = make(chan struct{})
 	}
+	return complete
 }
 
 // keepRecent keeps the records that have just been applied. The caller holds
@@ -169,6 +177,13 @@
 	return f.age(), f.replay.Next()
 }
 
+// LogAge returns how long ago this host has itself read the end of the stream.
+func (f *follower) LogAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.clock.Now().Sub(f.readAt)
+}
+
 // State returns the newest configuration.
 func (f *follower) State() *config.State { return f.machine.State() }
 
@@ -187,11 +202,11 @@
 	return fault.New(fault.Unavailable, fault.NotRun, "this host's configuration may be out of date").WithRetryAfter(1)
 }
 
-// CutOff reports whether this host alone cannot read the log.
+// CutOff reports whether this host cannot read the log while another can. Such
+// a host may know the configuration from its peers, but cannot own a group.
 func (f *follower) CutOff() bool {
-	age, _ := f.Age()
 	_, freshest, heard := f.table.Silence(f.clock.Now())
-	return age > f.freshFor && heard > 0 && freshest <= f.freshFor
+	return f.LogAge() > f.freshFor && heard > 0 && freshest <= f.freshFor
 }
 
 // Change appends a change of grants and waits until it has been applied or is
--- a/internal/node/entry/host.go
+++ b/internal/node/entry/host.go
@@ -19,6 +19,7 @@
 	"context"
 	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -220,13 +221,13 @@
 
 // beat raises the host's heartbeat with its present load.
 func (h *Host) beat() {
-	age, next := h.cell.Age()
+	_, next := h.cell.Age()
 	duties, pools := h.ownDuties(), h.ownPools()
 	h.mu.Lock()
 	leaving := h.leaving
 	h.mu.Unlock()
 	h.table.Beat(peers.Report{
-		Member: wire.Member{Groups: duties, Pools: pools, Leaving: leaving}, CellNext: next, CellAge: age,
+		Member: wire.Member{Groups: duties, Pools: pools, Leaving: leaving}, CellNext: next, LogAge: h.cell.LogAge(),
 	}, h.clock.Now())
 }
 
@@ -364,11 +365,11 @@
 	live := h.table.Live(now)
 	best := time.Duration(1<<63 - 1)
 	for _, m := range live {
-		best = min(best, m.CellAge)
+		best = min(best, m.LogAge)
 	}
 	var list []peers.Peer
 	for _, m := range live {
-		if m.CellAge-best <= h.set.Timing.FreshFor {
+		if m.LogAge-best <= h.set.Timing.FreshFor {
 			list = append(list, m)
 		}
 	}
@@ -397,7 +398,7 @@
 		return now.Sub(og.away) < handOverAfter
 	}
 	og.away = now
-	if h.table.Holds(og.g.Name(), now) {
+	if h.held(og.g.Name(), live, now) {
 		og.noOwner = now
 		return false
 	}
@@ -407,6 +408,18 @@
 	return now.Sub(og.noOwner) >= time.Duration(rank)*claimStagger
 }
 
+// held reports whether a live host owns the group and can write its stream. An
+// owner that lags behind others in reading the log is cut off from it; its
+// groups may be claimed without waiting for it to notice.
+func (h *Host) held(name string, eligible []peers.Peer, now time.Time) bool {
+	if !h.table.Holds(name, now) {
+		return false
+	}
+	o, _ := h.table.Owner(name)
+	is := func(m peers.Peer) bool { return m.ID == o.Host }
+	return slices.ContainsFunc(eligible, is) || !slices.ContainsFunc(h.table.Live(now), is)
+}
+
 // snapshotLoop has the first live host append snapshots of the configuration.
 func (h *Host) snapshotLoop(ctx context.Context) {
 	last := h.clock.Now()
--- a/internal/node/entry/remote.go
+++ b/internal/node/entry/remote.go
@@ -89,7 +89,7 @@
 func (r *remote) MayClaim(name string, epoch uint64, holder group.Holder) bool {
 	now := r.h.clock.Now()
 	r.h.table.Note(name, peers.Owner{Host: holder.Host, Addr: holder.Addr, Epoch: epoch}, now)
-	return !r.h.table.Holds(name, now)
+	return !r.h.held(name, r.h.eligible(now), now)
 }
 
 const (
--- a/internal/node/owner/commit.go
+++ b/internal/node/owner/commit.go
@@ -18,7 +18,8 @@
 // reported as not run when a later epoch has made it void for ever.
 
 const (
-	maxPending      = 20_000 // proposals
+	giveUpAfter     = 2 * time.Second // for an append of a group that this host should not own
+	maxPending      = 20_000          // proposals
 	maxBatchRecords = 5_000
 	appendRetry     = 50 * time.Millisecond
 	maxAppendRetry  = time.Second
@@ -104,6 +105,7 @@
 		return err
 	}
 	wait := appendRetry
+	started := g.cfg.Clock.Now()
 	for {
 		offset, err := g.cfg.Log.Append(ctx, g.replay.Stream, data)
 		if err == nil && g.applyAppended(offset, data) {
@@ -118,6 +120,9 @@
 		case <-ctx.Done():
 			return fault.New(fault.Unavailable, fault.Unknown, "the host stopped before the log confirmed")
 		}
+		if !g.isWanted() && g.cfg.Clock.Now().Sub(started) > giveUpAfter {
+			return fault.New(fault.Unavailable, fault.Unknown, "the group is given up before the log confirmed")
+		}
 		wait = min(2*wait, maxAppendRetry)
 	}
 }
@@ -219,7 +224,7 @@
 	for ctx.Err() == nil {
 		g.flush(ctx)
 		g.mu.Lock()
-		idle := g.epoch == 0 || len(g.flights) == 0 && len(g.pending) == 0
+		idle := g.epoch == 0 || g.logDown || len(g.flights) == 0 && len(g.pending) == 0
 		g.mu.Unlock()
 		if idle {
 			return
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -377,6 +377,7 @@
 func (g *Group) own(ctx context.Context) {
 	run, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
+	defer context.AfterFunc(ctx, func() { g.Want(false) })()
 	g.startKeepers(run)
 	background := g.startBackground(run)
 	for {
--- a/internal/node/owner/place.go
+++ b/internal/node/owner/place.go
@@ -22,6 +22,7 @@
 	maxPassItems  = 256 // items placed in one pass
 	maxPassRemote = 32  // items of one pass that are tried at other groups
 	retryBlocked  = 100 * time.Millisecond
+	retryUrgent   = 10 * time.Millisecond
 	maxReasons    = 8 // kept for each job
 )
 
@@ -295,10 +296,18 @@
 	}
 	g.explain(pl.item.Ref.Job, reason)
 	if g.stillWaits(pl.item) {
-		g.hold(pl.item, retryBlocked)
+		g.hold(pl.item, retryAfter(pl.item.Kind))
 	}
 }
 
+// retryAfter returns how long an item waits that found no room.
+func retryAfter(k jobs.Kind) time.Duration {
+	if k == jobs.Urgent {
+		return retryUrgent
+	}
+	return retryBlocked
+}
+
 // startsRecorded starts the attempts whose intents have become durable. An
 // attempt that was overtaken by a cancellation has no intent and is dropped.
 func (g *Group) startsRecorded(pl *plan, err error) {
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -73,14 +73,14 @@
 type Peer struct {
 	wire.Member
 	CellNext int64         `json:"cellNext"`
-	CellAge  time.Duration `json:"cellAgeNs"`
+	LogAge   time.Duration `json:"logAgeNs"` // since it read the end of the configuration from the log
 }
 
 // Report is what a host says about itself at a heartbeat.
 type Report struct {
 	Member   wire.Member // Boot, Version and the addresses are not used
 	CellNext int64
-	CellAge  time.Duration
+	LogAge   time.Duration // since it read the end of the configuration from the log
 }
 
 // NewTable returns a table that knows only its own host.
@@ -96,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.beat.Beat++
-	t.beat.CellNext, t.beat.CellAgeMs = r.CellNext, r.CellAge.Milliseconds()
+	t.beat.CellNext, t.beat.LogAgeMs = r.CellNext, r.LogAge.Milliseconds()
 	t.describe(r.Member, now)
 	for id, s := range t.members {
 		if now.Sub(s.at) > t.cfg.ForgetAfter {
@@ -182,7 +182,7 @@
 // present returns the heartbeat with its ages brought up to the present.
 func (s *seen) present(now time.Time) wire.Beat {
 	b := s.beat
-	b.CellAgeMs += now.Sub(s.at).Milliseconds()
+	b.LogAgeMs += now.Sub(s.at).Milliseconds()
 	return b
 }
 
@@ -286,7 +286,7 @@
 	var list []Peer
 	add := func(m wire.Member, b wire.Beat) {
 		if !m.Leaving {
-			list = append(list, Peer{Member: m, CellNext: b.CellNext, CellAge: time.Duration(b.CellAgeMs) * time.Millisecond})
+			list = append(list, Peer{Member: m, CellNext: b.CellNext, LogAge: time.Duration(b.LogAgeMs) * time.Millisecond})
 		}
 	}
 	add(t.self, t.beat)
@@ -343,7 +343,7 @@
 			continue
 		}
 		heard++
-		freshest = min(freshest, time.Duration(s.present(now).CellAgeMs)*time.Millisecond)
+		freshest = min(freshest, time.Duration(s.present(now).LogAgeMs)*time.Millisecond)
 	}
 	return silent, freshest, heard
 }
--- a/internal/node/wire/wire.go
+++ b/internal/node/wire/wire.go
@@ -47,12 +47,12 @@
 // Beat is a member's newest heartbeat, as far as somebody has heard. It is
 // what changes all the time, and is kept small.
 type Beat struct {
-	ID        string
-	Boot      int64  // orders the lives of one id
-	Beat      uint64 //
-	Version   uint64 // of the member's description
-	CellNext  int64  // next offset of the configuration that it will read
-	CellAgeMs int64  // since it last knew that it had read everything
+	ID       string
+	Boot     int64  // orders the lives of one id
+	Beat     uint64 //
+	Version  uint64 // of the member's description
+	CellNext int64  // next offset of the configuration that it will read
+	LogAgeMs int64  // since it read the end of the configuration from the log itself
 }
 
 // Newer reports whether b is a later heartbeat than o.
