--- a/cmd/lagooncourse/path_test.go
+++ b/cmd/lagooncourse/path_test.go
@@ -65,6 +65,7 @@
 // workload submits jobs and calls until it is told to stop, and remembers what
 // it was told.
 type workload struct {
+	key   string
 	mu    sync.Mutex
 	jobs  []jobs.ID
 	calls map[string]error // id -> outcome of a call that is not idempotent
@@ -72,9 +73,17 @@
 	wg    sync.WaitGroup
 }
 
+// startLoaded starts three entry hosts with a workload. A call takes workMs at
+// its executor.
+func startLoaded(t *testing.T, workMs int) (*cluster, *workload) {
+	t.Helper()
+	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: workMs})
+	return c, startWorkload(c, c.team("lab", roomy))
+}
+
 // startWorkload starts a submitter and several callers.
 func startWorkload(c *cluster, key string) *workload {
-	w := &workload{calls: map[string]error{}, stop: make(chan struct{})}
+	w := &workload{key: key, calls: map[string]error{}, stop: make(chan struct{})}
 	w.loop(func(i int) {
 		spec := small("survey", 300).WithSubmission(fmt.Sprintf("s%d", i))
 		spec.Idempotent = i%2 == 0
@@ -140,22 +149,22 @@
 
 // finish stops the workload and checks every promise on what workers and
 // executors recorded.
-func (w *workload) finish(c *cluster, key string) {
+func (w *workload) finish(c *cluster) {
 	c.t.Helper()
 	close(w.stop)
 	w.wg.Wait()
-	w.checkJobs(c, key)
+	w.checkJobs(c)
 	w.checkCalls(c)
 }
 
-func (w *workload) checkJobs(c *cluster, key string) {
+func (w *workload) checkJobs(c *cluster) {
 	c.t.Helper()
 	assert.Assert(c.t, len(w.jobs) > 0, "the workload submitted nothing")
 	parked := 0
 	for _, id := range w.jobs {
 		ctx, cancel := context.WithTimeout(context.Background(), pollBound)
 		c.until("job "+string(id)+" ends or is parked", func() bool {
-			a, err := c.client(key).Status(ctx, id)
+			a, err := c.client(w.key).Status(ctx, id)
 			if err == nil && a.State == jobs.Parked {
 				parked++
 				return true
@@ -241,9 +250,7 @@
 // TestKilledHosts kills every entry host in turn, each one under load, and
 // starts it again.
 func TestKilledHosts(t *testing.T) {
-	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5})
-	key := c.team("lab", roomy)
-	w := startWorkload(c, key)
+	c, w := startLoaded(t, 5)
 	for _, h := range c.hosts {
 		w.pass(c, 100)
 		h.signal(t, syscall.SIGKILL)
@@ -252,30 +259,26 @@
 		c.startHost(h)
 		c.until("the new process is ready", h.ready)
 	}
-	w.finish(c, key)
+	w.finish(c)
 }
 
 // TestFrozenHost freezes an entry host until others have taken its groups, and
 // lets it go on.
 func TestFrozenHost(t *testing.T) {
-	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5})
-	key := c.team("lab", roomy)
-	w := startWorkload(c, key)
+	c, w := startLoaded(t, 5)
 	w.pass(c, 100)
 	c.hosts[0].signal(t, syscall.SIGSTOP)
 	c.until("the other hosts own all groups", func() bool { return c.owned(1, 2) == len(azs) })
 	w.pass(c, 100)
 	c.hosts[0].signal(t, syscall.SIGCONT)
 	w.pass(c, 100)
-	w.finish(c, key)
+	w.finish(c)
 }
 
 // TestLogOutage takes the log away under load, with an entry host dying in the
 // middle of the outage.
 func TestLogOutage(t *testing.T) {
-	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5})
-	key := c.team("lab", roomy)
-	w := startWorkload(c, key)
+	c, w := startLoaded(t, 5)
 	w.pass(c, 100)
 	c.set(c.log, fakes.LogSwitch{Outage: true})
 	w.pass(c, 4)
@@ -286,28 +289,24 @@
 	c.startHost(c.hosts[1])
 	c.until("every entry host is ready", c.ready)
 	w.pass(c, 100)
-	w.finish(c, key)
+	w.finish(c)
 }
 
 // TestLostAnswers has the log lose the answers of appends that took effect,
 // and lose appends altogether.
 func TestLostAnswers(t *testing.T) {
-	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5})
-	key := c.team("lab", roomy)
-	w := startWorkload(c, key)
+	c, w := startLoaded(t, 5)
 	for range 5 {
 		w.pass(c, 50)
 		c.set(c.log, fakes.LogSwitch{LoseAnswers: 5, DropAppends: 3})
 	}
-	w.finish(c, key)
+	w.finish(c)
 }
 
 // TestGracefulStop replaces every entry host in turn under load. No call may
 // be cut off by it.
 func TestGracefulStop(t *testing.T) {
-	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 20})
-	key := c.team("lab", roomy)
-	w := startWorkload(c, key)
+	c, w := startLoaded(t, 20)
 	for _, h := range c.hosts {
 		w.pass(c, 50)
 		h.signal(t, syscall.SIGTERM)
@@ -315,7 +314,7 @@
 		c.startHost(h)
 		c.until("the new process is ready", h.ready)
 	}
-	w.finish(c, key)
+	w.finish(c)
 	for id, err := range w.calls {
 		if err != nil && fault.RanOf(err) == fault.Unknown {
 			t.Errorf("call %s was cut off: %v", id, err)
@@ -326,9 +325,7 @@
 // TestCutFromLog cuts one entry host's connections to the log while it owns
 // groups, until the others have taken them, and mends them.
 func TestCutFromLog(t *testing.T) {
-	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5})
-	key := c.team("lab", roomy)
-	w := startWorkload(c, key)
+	c, w := startLoaded(t, 5)
 	w.pass(c, 100)
 	c.relay.set(true)
 	c.until("the other hosts own all groups", func() bool { return c.owned(1, 2) == len(azs) })
@@ -336,15 +333,13 @@
 	c.relay.set(false)
 	c.until("the first host owns a group again", func() bool { return c.owned(0) > 0 })
 	w.pass(c, 100)
-	w.finish(c, key)
+	w.finish(c)
 }
 
 // TestFreezeAndKill freezes one entry host and kills another while the log
 // loses answers, so that one host is left, and then brings both back.
 func TestFreezeAndKill(t *testing.T) {
-	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5})
-	key := c.team("lab", roomy)
-	w := startWorkload(c, key)
+	c, w := startLoaded(t, 5)
 	w.pass(c, 100)
 	c.set(c.log, fakes.LogSwitch{LoseAnswers: 10, DropAppends: 5})
 	c.hosts[0].signal(t, syscall.SIGSTOP)
@@ -356,5 +351,5 @@
 	c.hosts[0].signal(t, syscall.SIGCONT)
 	c.until("every entry host is ready", c.ready)
 	w.pass(c, 100)
-	w.finish(c, key)
+	w.finish(c)
 }
--- /dev/null
+++ b/internal/node/entry/admin.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/httpd"
+	"lagooncourse/internal/cell/config"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/node/owner"
+	"lagooncourse/internal/node/wire"
+)
+
+// This file is the part of the API that concerns operators.
+
+// postEdit applies an operator's edit. A lost race is a conflict that names
+// the winner.
+func (h *Host) postEdit(r *http.Request) (res config.Result, err error) {
+	if err := h.operator(r); err != nil {
+		return res, err
+	}
+	e, err := httpd.ReadJSON[config.Edit](r, h.set.API.MaxBody)
+	if err != nil {
+		return res, err
+	}
+	if e.ID == "" {
+		e.ID = rand.Text()
+	}
+	if err := e.Check(); err != nil {
+		return res, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), h.set.API.CallTimeout)
+	defer cancel()
+	res, err = h.cell.Edit(ctx, e)
+	if err == nil && !res.Accepted {
+		return res, &fault.Error{
+			Code: fault.Conflict, Ran: fault.NotRun, Field: "base", Value: strconv.FormatInt(int64(e.Base), 10),
+			Detail: "object " + e.Object() + " stands at version " + strconv.FormatInt(int64(res.Version), 10) +
+				", made by " + strconv.Quote(res.Winner),
+		}
+	}
+	return res, err
+}
+
+// ConfigAnswer is the configuration in force on one host.
+type ConfigAnswer struct {
+	Offset int64                   `json:"offset"`
+	AgeMs  int64                   `json:"ageMs"`
+	Plans  map[string]config.Plan  `json:"plans"`
+	Allows map[string]config.Allow `json:"allows"`
+	Keys   map[string]config.Key   `json:"keys"`
+	Azs    map[string]config.Az    `json:"azs"`
+}
+
+func (h *Host) getConfig(r *http.Request) (a ConfigAnswer, err error) {
+	if err := h.operator(r); err != nil {
+		return a, err
+	}
+	s := h.cell.State()
+	age, _ := h.cell.Age()
+	return ConfigAnswer{
+		Offset: s.Offset, AgeMs: age.Milliseconds(), Plans: s.Plans, Allows: s.Allows, Keys: s.Keys, Azs: s.Azs,
+	}, nil
+}
+
+// SettleRequest is an operator's decision on a parked task.
+type SettleRequest struct {
+	Task   string      `json:"task"`
+	Action jobs.Action `json:"action"`
+}
+
+func (h *Host) postSettle(r *http.Request) (a JobAnswer, err error) {
+	if err := h.operator(r); err != nil {
+		return a, err
+	}
+	req, err := httpd.ReadJSON[SettleRequest](r, h.set.API.MaxBody)
+	if err != nil {
+		return a, err
+	}
+	ref, err := jobs.ParseRef(req.Task)
+	if err != nil {
+		return a, err
+	}
+	if _, ok := ref.Job.Group(); !ok {
+		return a, fault.Field("task", req.Task, "must have the form GROUP.NUMBER/INDEX")
+	}
+	if req.Action != jobs.SettleDone && req.Action != jobs.SettleFailed && req.Action != jobs.SettleRerun {
+		return a, fault.Field("action", req.Action, "must be one of %v", jobs.Actions)
+	}
+	j, err := toOwner(r.Context(), h, groupOfJob(ref.Job), wire.Settle,
+		wire.SettleMsg{Ref: ref, Action: req.Action}, (*owner.Group).Settle)
+	return JobAnswer{Job: j, State: j.State()}, err
+}
--- /dev/null
+++ b/internal/node/entry/calls.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/httpd"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/node/wire"
+)
+
+// This file is the part of the API that concerns calls to services.
+
+// postCall carries one call to a target and its whole answer back.
+func (h *Host) postCall(w http.ResponseWriter, r *http.Request) {
+	msg, timeout, err := h.callOf(r)
+	if err != nil {
+		httpd.WriteError(w, err)
+		return
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), timeout)
+	defer cancel()
+	a, err := h.call(ctx, msg)
+	h.metrics.called(msg.Service, fault.RanOf(err))
+	if err != nil {
+		httpd.WriteError(w, err)
+		return
+	}
+	w.Header().Set(HeaderCallID, msg.ID)
+	w.Header().Set(HeaderRan, string(fault.Done))
+	w.Header().Set("Content-Type", "application/octet-stream")
+	w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+// callOf checks a call's headers and body.
+func (h *Host) callOf(r *http.Request) (msg wire.CallMsg, timeout time.Duration, err error) {
+	team, err := h.team(r)
+	if err != nil {
+		return msg, 0, err
+	}
+	msg = wire.CallMsg{Service: pathvar.Vars(r)["service"], Team: team, ID: r.Header.Get(HeaderCallID)}
+	if err := h.allowed(team, "service", msg.Service); err != nil {
+		return msg, 0, err
+	}
+	if msg.ID == "" {
+		msg.ID = rand.Text()
+	} else if err := jobs.CheckName(HeaderCallID, msg.ID); err != nil {
+		return msg, 0, err
+	}
+	switch v := r.Header.Get(HeaderIdempotent); v {
+	case "", "false":
+	case "true":
+		msg.Idempotent = true
+	default:
+		return msg, 0, fault.Field(HeaderIdempotent, v, `must be "true" or "false"`)
+	}
+	if timeout, err = h.timeoutOf(r); err != nil {
+		return msg, 0, err
+	}
+	msg.Body, err = httpd.ReadBody(r, h.set.API.MaxBody)
+	return msg, timeout, err
+}
+
+func (h *Host) timeoutOf(r *http.Request) (time.Duration, error) {
+	text := r.Header.Get(HeaderTimeout)
+	if text == "" {
+		return h.set.API.CallTimeout, nil
+	}
+	ms, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || ms < 1 || ms > maxTimeout.Milliseconds() {
+		return 0, fault.Field(HeaderTimeout, text, "must lie between 1 and %d", maxTimeout.Milliseconds())
+	}
+	return time.Duration(ms) * time.Millisecond, nil
+}
+
+// call runs an idempotent call by the shortest way, and any other through the
+// group that records its intent.
+func (h *Host) call(ctx context.Context, msg wire.CallMsg) (wire.CallAnswer, error) {
+	if msg.Idempotent {
+		return h.router.Call(ctx, msg)
+	}
+	name := homeOf(h.groupNames(), msg.Team, msg.ID)
+	if name == "" {
+		return wire.CallAnswer{}, fault.New(fault.Unavailable, fault.NotRun, "this host has not read the host list yet").WithRetryAfter(1)
+	}
+	msg.Group = name
+	return withOwner(ctx, func(ctx context.Context) (wire.CallAnswer, error) {
+		return toOwner(ctx, h, name, wire.Once, msg, h.onceAt)
+	})
+}
--- /dev/null
+++ b/internal/node/entry/jobs.go
@@ -0,0 +1,228 @@
+package entry
+
+import (
+	"context"
+	"crypto/rand"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/zeromicro/go-zero/rest/pathvar"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/httpd"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/node/owner"
+	"lagooncourse/internal/node/wire"
+)
+
+// This file is the part of the API that concerns jobs.
+
+// postJob accepts a job. It answers once the job is in the log.
+func (h *Host) postJob(r *http.Request) (j jobs.Job, err error) {
+	spec, err := httpd.ReadJSON[jobs.Spec](r, h.set.API.MaxBody)
+	if err != nil {
+		return j, err
+	}
+	team, err := h.team(r)
+	if err != nil {
+		return j, err
+	}
+	if spec.Team != "" && spec.Team != team {
+		return j, fault.New(fault.Denied, fault.NotRun, "the key belongs to team %q, not to team %q", team, spec.Team)
+	}
+	spec = spec.WithDefaults().WithTeam(team)
+	if spec.Submission == "" {
+		spec = spec.WithSubmission(rand.Text())
+	}
+	if err := h.admit(spec); err != nil {
+		return j, err
+	}
+	name := homeOf(h.groupNames(), team, spec.Submission)
+	return withOwner(r.Context(), func(ctx context.Context) (jobs.Job, error) {
+		return toOwner(ctx, h, name, wire.Submit, wire.SubmitMsg{Group: name, Spec: spec}, submitAt)
+	})
+}
+
+func (h *Host) groupNames() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return groupNames(h.list, h.set.Platform.GroupsInAz)
+}
+
+// admit returns an error for a job that its team may not run or that can never
+// run on the cell's workers.
+func (h *Host) admit(spec jobs.Spec) error {
+	if err := spec.Check(); err != nil {
+		return err
+	}
+	if err := h.allowed(spec.Team, "queue", spec.Queue); err != nil {
+		return err
+	}
+	if spec.Az != "" {
+		if err := h.allowed(spec.Team, "az", spec.Az); err != nil {
+			return err
+		}
+	}
+	limit := h.cell.State().Limit(spec.Team)
+	need := spec.Size
+	if spec.Kind == jobs.Gang {
+		need = spec.Total()
+	}
+	if !need.Fits(limit) {
+		return infeasible("size", need, "exceeds the limit of team "+spec.Team+", "+limit.String())
+	}
+	return h.feasible(spec)
+}
+
+func infeasible(field string, value jobs.Size, detail string) error {
+	return &fault.Error{Code: fault.Infeasible, Ran: fault.NotRun, Field: field, Value: value.String(), Detail: detail}
+}
+
+// feasible returns an error if no worker in the host list could ever hold a
+// task of the job.
+func (h *Host) feasible(spec jobs.Spec) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.list.Workers) == 0 {
+		return fault.New(fault.Unavailable, fault.NotRun, "this host has not read the host list yet").WithRetryAfter(1)
+	}
+	for _, w := range h.list.Workers {
+		fits := spec.Size.Fits(jobs.Size{CPU: w.CPU, Mem: w.Mem, Accel: w.Accel})
+		if fits && (spec.Az == "" || spec.Az == w.Az) {
+			return nil
+		}
+	}
+	return infeasible("size", spec.Size, "fits no worker of the cell")
+}
+
+// getJob returns a job, once it has ended if the request asks to wait.
+func (h *Host) getJob(r *http.Request) (a JobAnswer, err error) {
+	id, err := jobID(r)
+	if err != nil {
+		return a, err
+	}
+	waitMs, err := queryInt(r, "waitMs", maxWait.Milliseconds())
+	if err != nil {
+		return a, err
+	}
+	s, err := h.jobOf(r, id, waitMs)
+	return JobAnswer{Job: s.Job, State: s.Job.State(), Why: s.Why}, err
+}
+
+// JobAnswer is a job with its state as a whole and why it waits.
+type JobAnswer struct {
+	jobs.Job
+	State jobs.State `json:"state"`
+	Why   []string   `json:"why,omitempty"`
+}
+
+func jobID(r *http.Request) (jobs.ID, error) {
+	id := jobs.ID(pathvar.Vars(r)["id"])
+	if _, ok := id.Group(); !ok {
+		return "", fault.Field("id", id, "must have the form GROUP.NUMBER")
+	}
+	return id, nil
+}
+
+// queryInt parses a whole number of the query between 0 and most.
+func queryInt(r *http.Request, name string, most int64) (int64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	n, err := strconv.ParseInt(text, 10, 64)
+	if err != nil || n < 0 || n > most {
+		return 0, fault.Field(name, text, "must lie between 0 and %d", most)
+	}
+	return n, nil
+}
+
+// jobOf returns a job that the request may see: one of its own team, or any
+// for an operator.
+func (h *Host) jobOf(r *http.Request, id jobs.ID, waitMs int64) (s wire.StatusAnswer, err error) {
+	team, err := h.team(r)
+	if err != nil && h.operator(r) != nil {
+		return s, err
+	}
+	s, err = withOwner(r.Context(), func(ctx context.Context) (wire.StatusAnswer, error) {
+		return toOwner(ctx, h, groupOfJob(id), wire.Status, wire.StatusMsg{Job: id}, (*owner.Group).Status)
+	})
+	if err != nil {
+		return s, err
+	}
+	if s.Job.Spec.Team != team && h.operator(r) != nil {
+		return wire.StatusAnswer{}, fault.New(fault.Denied, fault.NotRun, "job %q belongs to another team", id)
+	}
+	return h.await(r.Context(), s, waitMs)
+}
+
+// await waits for the job's end. It asks again when the group's owner changes
+// in between.
+func (h *Host) await(ctx context.Context, s wire.StatusAnswer, waitMs int64) (wire.StatusAnswer, error) {
+	deadline := h.clock.Now().Add(time.Duration(waitMs) * time.Millisecond)
+	for !s.Job.Ended() {
+		left := deadline.Sub(h.clock.Now()).Milliseconds()
+		if left <= 0 {
+			return s, nil
+		}
+		msg := wire.StatusMsg{Job: s.Job.ID, WaitMs: min(left, statusWait.Milliseconds())}
+		next, err := toOwner(ctx, h, groupOfJob(s.Job.ID), wire.Status, msg, (*owner.Group).Status)
+		if err == nil {
+			s = next
+			continue
+		}
+		select {
+		case <-time.After(ownerRetry):
+		case <-ctx.Done():
+			return s, nil
+		}
+	}
+	return s, nil
+}
+
+// statusWait bounds one wait at a group's owner, so that a dead owner is
+// noticed.
+const statusWait = 2 * time.Second
+
+func (h *Host) postCancel(r *http.Request) (a JobAnswer, err error) {
+	id, err := jobID(r)
+	if err != nil {
+		return a, err
+	}
+	if _, err := h.jobOf(r, id, 0); err != nil {
+		return a, err
+	}
+	j, err := withOwner(r.Context(), func(ctx context.Context) (jobs.Job, error) {
+		return toOwner(ctx, h, groupOfJob(id), wire.Cancel, wire.CancelMsg{Job: id}, cancelAt)
+	})
+	return JobAnswer{Job: j, State: j.State()}, err
+}
+
+// JobList is a list of jobs without their payloads.
+type JobList struct {
+	Jobs []JobAnswer `json:"jobs"`
+}
+
+// getJobs lists jobs: those of the key's team, or of all teams for an operator.
+func (h *Host) getJobs(r *http.Request) (l JobList, err error) {
+	team := ""
+	if h.operator(r) != nil || bearer(r) != "" {
+		if team, err = h.team(r); err != nil {
+			return l, err
+		}
+	}
+	l.Jobs = []JobAnswer{}
+	state := jobs.State(r.URL.Query().Get("state"))
+	for _, name := range h.groupNames() {
+		msg := wire.ListMsg{Group: name, Team: team, State: state, Max: maxListJobs}
+		a, err := toOwner(r.Context(), h, name, wire.List, msg, (*owner.Group).List)
+		if err != nil {
+			return l, err
+		}
+		for _, j := range a.Jobs {
+			l.Jobs = append(l.Jobs, JobAnswer{Job: j, State: j.State()})
+		}
+	}
+	return l, nil
+}
--- a/internal/node/owner/commit.go
+++ b/internal/node/owner/commit.go
@@ -179,11 +179,8 @@
 func (g *Group) noteLog(err error) {
 	down := err != nil && !fault.Is(err, fault.Overload)
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.logDown = down
-	g.mu.Unlock()
-	if g.cfg.Down != nil {
-		g.cfg.Down(err)
-	}
 }
 
 // release hands the group over: it takes no new calls, finishes those under
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -48,7 +48,8 @@
 	"lagooncourse/internal/plat/worker"
 )
 
-// Remote reaches the owners of other groups. Errors are *fault.Error.
+// Remote reaches the owners of groups, this one included. Errors are
+// *fault.Error.
 type Remote interface {
 	Reserve(ctx context.Context, msg wire.ReserveMsg) (wire.ReserveAnswer, error)
 	Start(ctx context.Context, msg wire.StartMsg) (wire.StartAnswer, error)
@@ -108,7 +109,6 @@
 	Logger logr.Logger
 	Timing Timing
 	Policy queue.Policy // nil means queue.Fair
-	Down   func(error)  // told of the log's failures, with nil when it answers again; may be nil
 }
 
 // Group is one group on one entry host.
--- a/internal/node/owner/home.go
+++ b/internal/node/owner/home.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/books"
 	"lagooncourse/internal/cell/group"
 	"lagooncourse/internal/cell/jobs"
@@ -48,13 +47,7 @@
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	msg := wire.ReportMsg{Group: home, Reports: reports}
-	var a wire.ReportAnswer
-	var err error
-	if home == g.cfg.Name {
-		a, err = g.Report(ctx, msg)
-	} else {
-		a, err = g.cfg.Remote.Report(ctx, msg)
-	}
+	a, err := g.cfg.Remote.Report(ctx, msg)
 	if err != nil {
 		return
 	}
@@ -150,13 +143,7 @@
 	ctx, cancel := context.WithTimeout(ctx, whereTimeout)
 	defer cancel()
 	msg := wire.WhereMsg{Group: name, Queries: queries}
-	var a wire.WhereAnswer
-	var err error
-	if name == g.cfg.Name {
-		a, err = g.Where(ctx, msg)
-	} else {
-		a, err = g.cfg.Remote.Where(ctx, msg)
-	}
+	a, err := g.cfg.Remote.Where(ctx, msg)
 	if err != nil || len(a.Places) != len(queries) || len(a.Reports) != len(queries) {
 		return
 	}
@@ -190,10 +177,6 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, whereTimeout)
 			defer cancel()
-			if msg.Group == g.cfg.Name {
-				_ = g.Stop(ctx, msg)
-				return
-			}
 			_ = g.cfg.Remote.Stop(ctx, msg)
 		}()
 	}
@@ -223,119 +206,3 @@
 	})
 	return list
 }
-
-// Submit records a job and returns it. A repetition with the same submission
-// id returns the job that was recorded first.
-func (g *Group) Submit(ctx context.Context, spec jobs.Spec) (j jobs.Job, err error) {
-	defer fault.Note(&err, "submit job %q", spec.Name)
-	if j, found, err := g.submitted(spec); found || err != nil {
-		return j, err
-	}
-	err = g.commit(ctx, group.Record{Submit: &group.Submit{Spec: spec, AtMs: g.nowMs()}})
-	if err != nil {
-		return j, err
-	}
-	j, found, err := g.submitted(spec)
-	if err == nil && !found {
-		err = fault.New(fault.Internal, fault.Unknown, "the job is missing after its record was applied")
-	}
-	return j, err
-}
-
-// submitted returns the job of a submission, if it has been recorded.
-func (g *Group) submitted(spec jobs.Spec) (j jobs.Job, found bool, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.epoch == 0 {
-		return j, false, notOwner(g.cfg.Name)
-	}
-	j, found = g.state.Job(g.state.Subs[group.SubKey(spec.Team, spec.Submission)])
-	if found && j.Spec != spec {
-		err = fault.New(fault.Conflict, fault.NotRun, "submission %q was made before with another content, as job %q", spec.Submission, j.ID)
-	}
-	return j, found, err
-}
-
-// Status returns a job and why it waits. It waits up to msg.WaitMs for the
-// job's end.
-func (g *Group) Status(ctx context.Context, msg wire.StatusMsg) (a wire.StatusAnswer, err error) {
-	deadline := time.After(time.Duration(msg.WaitMs) * time.Millisecond)
-	for {
-		a, changed, err := g.status(msg.Job)
-		if err != nil || a.Job.Ended() || msg.WaitMs == 0 {
-			return a, err
-		}
-		select {
-		case <-changed:
-		case <-deadline:
-			msg.WaitMs = 0
-		case <-ctx.Done():
-			return a, fault.New(fault.Timeout, fault.NotRun, "job %q has not ended", msg.Job)
-		}
-	}
-}
-
-func (g *Group) status(id jobs.ID) (wire.StatusAnswer, <-chan struct{}, error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.epoch == 0 {
-		return wire.StatusAnswer{}, nil, notOwner(g.cfg.Name)
-	}
-	j, ok := g.state.Job(id)
-	if !ok {
-		return wire.StatusAnswer{}, nil, fault.New(fault.NotFound, fault.NotRun, "job %q does not exist", id)
-	}
-	return wire.StatusAnswer{Job: j, Why: append([]string(nil), g.why[id]...)}, g.changed, nil
-}
-
-// Cancel asks for the end of a job.
-func (g *Group) Cancel(ctx context.Context, id jobs.ID) (j jobs.Job, err error) {
-	defer fault.Note(&err, "cancel job %q", id)
-	if _, _, err := g.status(id); err != nil {
-		return j, err
-	}
-	if err := g.commit(ctx, group.Record{Cancel: &group.Cancel{Job: id, AtMs: g.nowMs()}}); err != nil {
-		return j, err
-	}
-	a, _, err := g.status(id)
-	return a.Job, err
-}
-
-// Settle applies an operator's decision to a parked task.
-func (g *Group) Settle(ctx context.Context, msg wire.SettleMsg) (j jobs.Job, err error) {
-	defer fault.Note(&err, "settle task %q", msg.Ref)
-	a, _, err := g.status(msg.Ref.Job)
-	if err != nil {
-		return j, err
-	}
-	if msg.Ref.Index >= len(a.Job.Tasks) || a.Job.Tasks[msg.Ref.Index].State != jobs.Parked {
-		return j, fault.New(fault.Conflict, fault.NotRun, "task %q is not parked", msg.Ref)
-	}
-	err = g.commit(ctx, group.Record{Settle: &group.Settle{Ref: msg.Ref, Action: msg.Action, AtMs: g.nowMs()}})
-	if err != nil {
-		return j, err
-	}
-	a, _, err = g.status(msg.Ref.Job)
-	return a.Job, err
-}
-
-// List returns jobs of the group, oldest first, without their payloads.
-func (g *Group) List(_ context.Context, msg wire.ListMsg) (a wire.ListAnswer, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.epoch == 0 {
-		return a, notOwner(g.cfg.Name)
-	}
-	for _, j := range g.state.Sorted() {
-		if msg.Team != "" && j.Spec.Team != msg.Team || msg.State != "" && j.State() != msg.State {
-			continue
-		}
-		if len(a.Jobs) >= msg.Max {
-			break
-		}
-		c := j.WithTasks(j.Tasks)
-		c.Spec.Payload = ""
-		a.Jobs = append(a.Jobs, c)
-	}
-	return a, nil
-}
--- a/internal/node/owner/keep.go
+++ b/internal/node/owner/keep.go
@@ -8,16 +8,14 @@
 
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/books"
-	"lagooncourse/internal/cell/config"
 	"lagooncourse/internal/cell/jobs"
 	"lagooncourse/internal/cell/trust"
-	"lagooncourse/internal/node/wire"
 	"lagooncourse/internal/plat/hosts"
 	"lagooncourse/internal/plat/worker"
 )
 
-// This file keeps the group's workers: it renews their leases, reconciles the
-// books with their inventories, and serves the requests of jobs' homes.
+// This file keeps the group's workers: it renews their leases and reconciles
+// the books with their inventories.
 //
 // A renewal waits at the worker until something has changed there, so the end
 // of a task is known at once without polling. A worker that does not answer is
@@ -295,164 +293,3 @@
 		_ = g.propose(proposal{})
 	}
 }
-
-// Reserve reserves room for all attempts of another group's plan, or for none.
-func (g *Group) Reserve(_ context.Context, msg wire.ReserveMsg) (a wire.ReserveAnswer, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.epoch == 0 {
-		return a, notOwner(g.cfg.Name)
-	}
-	if err := g.mayStart(); err != nil {
-		return a, err
-	}
-	until := g.nowMs() + msg.TTLMs
-	for i := range msg.Asks {
-		msg.Asks[i].UntilMs = until
-	}
-	slots, ok := reserveAll(g.books, msg.Asks, g.nowMs())
-	if !ok {
-		return a, fault.New(fault.Overload, fault.NotRun, "group %q has no room", g.cfg.Name)
-	}
-	return wire.ReserveAnswer{Slots: slots}, nil
-}
-
-// mayStart returns an error if no work may start in the group's availability
-// zone now.
-func (g *Group) mayStart() error {
-	if err := g.cfg.Cell.Fresh(); err != nil {
-		return err
-	}
-	if g.cfg.Cell.State().AzOut(g.cfg.Az) {
-		return fault.New(fault.Unavailable, fault.NotRun, "availability zone %q is out of service", g.cfg.Az)
-	}
-	return nil
-}
-
-// Start starts a reserved attempt. The answer Absent means that it does not
-// run and never will.
-func (g *Group) Start(ctx context.Context, msg wire.StartMsg) (a wire.StartAnswer, err error) {
-	k, order, epoch, err := g.beginStart(msg)
-	if err != nil {
-		return a, err
-	}
-	if k == nil {
-		return wire.StartAnswer{Place: books.Absent}, nil
-	}
-	err = k.w.Start(ctx, startRequest(msg, epoch, order))
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.epoch != epoch {
-		return wire.StartAnswer{Place: books.Unsure}, nil
-	}
-	switch {
-	case err == nil:
-		g.books.Started(msg.Attempt)
-		return wire.StartAnswer{Place: books.There}, nil
-	case fault.RanOf(err) == fault.NotRun:
-		g.books.Refused(msg.Attempt)
-		return wire.StartAnswer{Place: books.Absent}, nil
-	}
-	g.books.Unsure(msg.Attempt)
-	g.stats.Unsure++
-	return wire.StartAnswer{Place: books.Unsure}, nil
-}
-
-// beginStart books the start as sent. A nil keeper means that the attempt must
-// not start.
-func (g *Group) beginStart(msg wire.StartMsg) (k *keeper, order books.Order, epoch uint64, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.epoch == 0 {
-		return nil, order, 0, notOwner(g.cfg.Name)
-	}
-	if g.mayStart() != nil {
-		g.books.Cancel(msg.Attempt)
-		return nil, order, 0, nil
-	}
-	order, ok := g.books.Begin(msg.Attempt)
-	if !ok {
-		return nil, order, 0, nil
-	}
-	return g.keepers[order.Worker], order, g.epoch, nil
-}
-
-func startRequest(msg wire.StartMsg, epoch uint64, order books.Order) worker.StartRequest {
-	return worker.StartRequest{
-		Token:   worker.Token{Epoch: epoch, Seq: order.Seq},
-		Boot:    order.Boot,
-		Attempt: worker.Attempt{Task: msg.Attempt.Task, Number: msg.Attempt.Number},
-		Home:    msg.Home, Family: msg.Spec.Name, Class: string(msg.Spec.Kind),
-		CPU: msg.Spec.Size.CPU, Mem: msg.Spec.Size.Mem, Accel: msg.Spec.Size.Accel,
-		RunMs: msg.Spec.RunMs, Checkpoint: msg.Checkpoint, Payload: msg.Spec.Payload,
-	}
-}
-
-// Stop ends an attempt on one of the group's workers. Its end is reported like
-// any other.
-func (g *Group) Stop(ctx context.Context, msg wire.StopMsg) error {
-	g.mu.Lock()
-	if g.epoch == 0 {
-		g.mu.Unlock()
-		return notOwner(g.cfg.Name)
-	}
-	id, ok := g.books.WorkerOf(msg.Attempt)
-	k, epoch := g.keepers[id], g.epoch
-	g.mu.Unlock()
-	if !ok || k == nil {
-		return nil
-	}
-	return k.w.Stop(ctx, worker.StopRequest{
-		Token:      worker.Token{Epoch: epoch},
-		Attempt:    worker.Attempt{Task: msg.Attempt.Task, Number: msg.Attempt.Number},
-		Checkpoint: msg.Checkpoint,
-	})
-}
-
-// Where says what became of attempts that were meant for the group's workers.
-func (g *Group) Where(_ context.Context, msg wire.WhereMsg) (a wire.WhereAnswer, err error) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.epoch == 0 {
-		return a, notOwner(g.cfg.Name)
-	}
-	timing := g.cfg.Timing
-	expired := g.cfg.Clock.Now().After(g.ownedAt.Add(renewTimeout + timing.Renew + timing.Lease + timing.Margin))
-	a.Epoch = g.epoch
-	for _, q := range msg.Queries {
-		place, r := g.books.Where(q, expired)
-		a.Places = append(a.Places, place)
-		a.Reports = append(a.Reports, r)
-	}
-	return a, nil
-}
-
-// drainBatch bounds the tasks that are moved off at each look, so that a zone
-// that leaves does not flood the others at once.
-const drainBatch = 8
-
-// drain stops tasks, with their state kept, on workers that are leaving or
-// whose availability zone is out of service.
-func (g *Group) drain(ctx context.Context) {
-	for _, at := range g.toDrain(g.cfg.Cell.State()) {
-		go func() { _ = g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: true}) }()
-	}
-}
-
-func (g *Group) toDrain(cell *config.State) []books.Attempt {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	out := cell.AzOut(g.cfg.Az)
-	var list []books.Attempt
-	for _, h := range g.workers {
-		if !out && h.State != hosts.Leaving {
-			continue
-		}
-		for _, b := range g.books.Running(h.ID) {
-			if len(list) < drainBatch {
-				list = append(list, b.Attempt)
-			}
-		}
-	}
-	return list
-}
--- a/internal/node/wire/wire.go
+++ b/internal/node/wire/wire.go
@@ -128,9 +128,8 @@
 
 // StatusAnswer carries a job and why it waits.
 type StatusAnswer struct {
-	Job  jobs.Job
-	Why  []string // explanations, newest last
-	Fate string   // epoch and holder of the group, for explain
+	Job jobs.Job
+	Why []string // explanations, newest last
 }
 
 // CancelMsg asks for the end of a job.
--- a/internal/plat/fakes/worker.go
+++ b/internal/plat/fakes/worker.go
@@ -443,37 +443,36 @@
 }
 
 func (w *fakeWorker) stop(rw http.ResponseWriter, r *http.Request) {
-	req, err := httpd.ReadJSON[worker.StopRequest](r, maxSwitchBytes)
-	if err != nil {
-		httpd.WriteError(rw, err)
-		return
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if err := w.accepts(req.Token); err != nil {
-		httpd.WriteError(rw, err)
-		return
-	}
-	end := worker.EndStopped
-	if req.Checkpoint {
-		end = worker.EndCheckpointed
-	}
-	w.end(req.Attempt, end)
-	w.bump()
-	httpd.WriteJSON(rw, struct{}{})
+	fenced(w, rw, r, func(req worker.StopRequest) worker.Token { return req.Token }, func(req worker.StopRequest) {
+		end := worker.EndStopped
+		if req.Checkpoint {
+			end = worker.EndCheckpointed
+		}
+		w.end(req.Attempt, end)
+		w.bump()
+	})
 }
 
 func (w *fakeWorker) throttle(rw http.ResponseWriter, r *http.Request) {
-	req, err := httpd.ReadJSON[worker.ThrottleRequest](r, maxSwitchBytes)
+	fenced(w, rw, r, func(req worker.ThrottleRequest) worker.Token { return req.Token }, func(worker.ThrottleRequest) {})
+}
+
+// fenced reads a request and does it, with the lock held, if the worker accepts
+// its token.
+func fenced[Req any](
+	w *fakeWorker, rw http.ResponseWriter, r *http.Request, token func(Req) worker.Token, do func(Req),
+) {
+	req, err := httpd.ReadJSON[Req](r, maxSwitchBytes)
 	if err != nil {
 		httpd.WriteError(rw, err)
 		return
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err := w.accepts(req.Token); err != nil {
+	if err := w.accepts(token(req)); err != nil {
 		httpd.WriteError(rw, err)
 		return
 	}
+	do(req)
 	httpd.WriteJSON(rw, struct{}{})
 }
--- /dev/null
+++ b/internal/plat/stream/replay_test.go
@@ -0,0 +1,116 @@
+package stream
+
+import (
+	"os"
+	"slices"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/base/seeds"
+)
+
+func TestMain(m *testing.M) { os.Exit(seeds.Run(m)) }
+
+// history is a machine that remembers every record.
+type history struct{ Records []string }
+
+func (h *history) Apply(_ int64, data []byte) { h.Records = append(h.Records, string(data)) }
+func (h *history) Snapshot() ([]byte, error)  { return frame.Encode(h.Records) }
+func (h *history) Restore(data []byte) error {
+	records, err := frame.Decode[[]string](data)
+	h.Records = records
+	return err
+}
+
+// tape is a stream with writers that may append late snapshots.
+type tape struct {
+	data    [][]byte
+	records []string // what a reader of everything has applied
+}
+
+func (tp *tape) page(from, first int64, most int) Page {
+	p := Page{First: first, Next: int64(len(tp.data))}
+	for off := max(from, first); off < p.Next && len(p.Records) < most; off++ {
+		p.Records = append(p.Records, Record{Offset: off, Data: tp.data[off]})
+	}
+	return p
+}
+
+// TestAgainstNaive writes records and snapshots, some of them composed long
+// before they land, and drops the beginning. A fresh reader that calls itself
+// ready holds what a reader of everything holds.
+func TestAgainstNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var tp tape
+		writer := &Replay{Machine: &history{}}
+		var late [][]byte
+		for i := range rapid.IntRange(1, 60).Draw(t, "n") {
+			switch rapid.IntRange(0, 5).Draw(t, "kind") {
+			case 0:
+				snap, err := writer.EncodeSnapshot()
+				assert.NilError(t, err)
+				late = append(late, snap)
+			case 1:
+				if len(late) > 0 {
+					n := rapid.IntRange(0, len(late)-1).Draw(t, "late")
+					tp.data = append(tp.data, late[n])
+				}
+			case 2:
+				tp.data = append(tp.data, []byte{0xc1})
+			default:
+				text := string(rune('a' + i%26))
+				data, err := EncodeRecord([]byte(text))
+				assert.NilError(t, err)
+				tp.data = append(tp.data, data)
+				tp.records = append(tp.records, text)
+			}
+			writer.Take(tp.page(writer.Next(), 0, 100))
+		}
+		assert.DeepEqual(t, writer.Machine.(*history).Records, tp.records)
+		readFresh(t, &tp)
+	})
+}
+
+// readFresh reads the rest of a truncated stream in small pages.
+func readFresh(t *rapid.T, tp *tape) {
+	first := rapid.Int64Range(0, int64(len(tp.data))).Draw(t, "first")
+	m := &history{}
+	r := &Replay{Machine: m}
+	atHead := false
+	for range len(tp.data) + 1 {
+		atHead = r.Take(tp.page(r.Next(), first, rapid.IntRange(1, 5).Draw(t, "page")))
+	}
+	assert.Assert(t, atHead)
+	if first == 0 {
+		assert.Assert(t, r.Ready())
+	}
+	if r.Ready() {
+		assert.Assert(t, slices.Equal(m.Records, tp.records), "%v, want %v", m.Records, tp.records)
+	}
+}
+
+// TestOvertaken checks that a reader that retention has overtaken drops its
+// state and starts again from the next snapshot.
+func TestOvertaken(t *testing.T) {
+	m := &history{}
+	r := &Replay{Machine: m}
+	rec := func(s string) []byte {
+		data, err := EncodeRecord([]byte(s))
+		assert.NilError(t, err)
+		return data
+	}
+	assert.Assert(t, r.Take(Page{Next: 1, Records: []Record{{Offset: 0, Data: rec("a")}}}))
+	assert.Assert(t, r.Ready())
+	r.Take(Page{First: 5, Next: 6, Records: []Record{{Offset: 5, Data: rec("f")}}})
+	assert.Assert(t, !r.Ready())
+	state, err := frame.Encode([]string{"a", "b", "c", "d", "e", "f"})
+	assert.NilError(t, err)
+	snap, err := frame.Encode(entry{Snapshot: state, UpTo: 5})
+	assert.NilError(t, err)
+	r.Take(Page{First: 5, Next: 8, Records: []Record{{Offset: 6, Data: snap}, {Offset: 7, Data: rec("g")}}})
+	assert.Assert(t, r.Ready())
+	assert.DeepEqual(t, m.Records, []string{"a", "b", "c", "d", "e", "f", "g"})
+}
--- /dev/null
+++ b/internal/plat/target/target_test.go
@@ -0,0 +1,74 @@
+package target_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/plat/fakes"
+	"lagooncourse/internal/plat/hosts"
+	"lagooncourse/internal/plat/target"
+)
+
+func start(t *testing.T, slots int) (*fakes.Execs, *target.Client) {
+	t.Helper()
+	e, err := fakes.StartExecs(fakes.ExecConfig{
+		Addr: "127.0.0.1:0", WorkMs: 1, Targets: []hosts.Target{{ID: t.Name(), Service: "s", Slots: slots}},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(e.Close)
+	return e, target.NewClient(target.ClientConfig{ID: t.Name(), URL: e.List()[0].URL})
+}
+
+// TestAnswers goes through everything that an executor may do to an answer. No
+// answer that is not whole and the call's own is delivered, and the call after
+// it is answered as if nothing had happened.
+func TestAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		sw   fakes.ExecSwitch
+		code fault.Code
+	}{
+		{"crossed", fakes.ExecSwitch{Cross: true}, fault.BadAnswer},
+		{"cut", fakes.ExecSwitch{Cut: true}, fault.BadAnswer},
+		{"corrupt", fakes.ExecSwitch{Corrupt: true}, fault.BadAnswer},
+		{"hung up", fakes.ExecSwitch{HangUp: true}, fault.Unavailable},
+		{"late", fakes.ExecSwitch{LateMs: 500}, fault.Timeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			e, c := start(t, 4)
+			call := func(id string) (target.Answer, error) {
+				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+				defer cancel()
+				return c.Call(ctx, target.Request{ID: id, Service: "s", Body: []byte(id)})
+			}
+			_, err := call("before")
+			assert.NilError(t, err)
+			e.Set(tc.sw)
+			a, err := call("x")
+			assert.Assert(t, fault.Is(err, tc.code), "%v", err)
+			assert.Equal(t, fault.RanOf(err), fault.Unknown)
+			assert.Equal(t, len(a.Body), 0)
+			e.Set(fakes.ExecSwitch{})
+			a, err = call("after")
+			assert.NilError(t, err)
+			assert.Equal(t, string(a.Body), `{"number":3,"echo":"after"}`)
+			assert.Equal(t, len(e.Executions()), 3)
+		})
+	}
+}
+
+// TestRefusals checks that a call that finds no slot or no executor says
+// truthfully that it did not run.
+func TestRefusals(t *testing.T) {
+	e, c := start(t, 0)
+	_, err := c.Call(context.Background(), target.Request{ID: "x", Service: "s"})
+	assert.Equal(t, fault.RanOf(err), fault.NotRun)
+	assert.Equal(t, len(e.Executions()), 0)
+	e.Close()
+	_, err = c.Call(context.Background(), target.Request{ID: "y", Service: "s"})
+	assert.Equal(t, fault.RanOf(err), fault.NotRun)
+}
--- a/internal/tool/cmds/root.go
+++ b/internal/tool/cmds/root.go
@@ -53,13 +53,19 @@
 		return 0
 	}
 	fmt.Fprintln(stderr, "lagooncourse:", describe(err))
-	var ce *conf.Error
-	if errors.Is(err, errUsage) || errors.As(err, &ce) {
+	if isInvalid(err) {
 		return exitInvalid
 	}
 	return exitFailed
 }
 
+// isInvalid reports whether the error is about the command line or a file. The
+// command library has no type for an unknown command.
+func isInvalid(err error) bool {
+	var ce *conf.Error
+	return errors.Is(err, errUsage) || errors.As(err, &ce) || strings.HasPrefix(err.Error(), "unknown command")
+}
+
 // describe adds the outcome to an error of an entry host.
 func describe(err error) string {
 	var e *fault.Error
