Let only a confirmed owner say that something does not run

Cause, found by reading: a keeper that was paused for longer than its workers' leases wakes, has heard nothing from them for that long, and reports their tasks as lost to homes on other hosts, although their new keeper has renewed them. Its answer 'absent' to a home with an old table was as wrong.

Change: loseWorker and Where ask the log whether the epoch still stands, after the leases have run out and after the question.

Ruled out: fencing reports by the keeper's epoch at the home, which knows the newest epoch only from gossip.

Also mended: an owner that hands a group over claimed it again at once, because it counted the time without an owner from before its own ownership (epochs 13 to 20 of one group within 20 s in a test's log); process tests choose ports below the range of the system's own, since a port was taken between its choice and its use when two test runs overlapped.

--- a/cmd/lagooncourse/cluster_test.go
+++ b/cmd/lagooncourse/cluster_test.go
@@ -63,18 +63,33 @@
 	executors int
 	workMs    int
 	retention string
+	lease     string // of workers; "2s" by default
 }
 
 var azs = []string{"a", "b", "c"}
 
-// freeAddr picks a free loopback port. Another process may take it before it
-// is used; the start of the role then fails the test with a clear message.
+// The ports of the roles lie below the range from which the system picks ports
+// for listeners and connections, so none is taken between its choice and use.
+const (
+	firstPort = 10_000
+	portRange = 20_000
+)
+
+var nextPort = os.Getpid() * 97 % portRange
+
+// freeAddr picks a free loopback port.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	for range portRange {
+		nextPort = (nextPort + 1) % portRange
+		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
+		if ln, err := net.Listen("tcp", addr); err == nil {
+			ln.Close()
+			return addr
+		}
+	}
+	t.Fatal("no free port")
+	return ""
 }
 
 // startCluster starts all roles and waits until every entry host is ready.
@@ -87,6 +102,9 @@
 	if cfg.retention == "" {
 		cfg.retention = "0s"
 	}
+	if cfg.lease == "" {
+		cfg.lease = "2s"
+	}
 	c.standin("log", fmt.Sprintf("[log]\nlisten = %s\nretention = %s\n", logAddr, cfg.retention))
 	c.standin("worker", fmt.Sprintf("[workers]\nlisten = %s\nazs = a, b, c\ncount = %d\nrackSize = 4\n", fleetAddr, cfg.workers))
 	c.standin("executor", fmt.Sprintf(
@@ -103,14 +121,14 @@
 		if i == 0 {
 			log = "http://" + c.relay.ln.Addr().String()
 		}
-		c.writeHost(h, azs[i%len(azs)], log, peers)
+		c.writeHost(h, azs[i%len(azs)], log, cfg.lease, peers)
 		c.startHost(h)
 	}
 	c.until("every entry host is ready", c.ready)
 	return c
 }
 
-func (c *cluster) writeHost(h *hostProc, az, log string, peers []string) {
+func (c *cluster) writeHost(h *hostProc, az, log, lease string, peers []string) {
 	h.path = c.write(h.id+".ini", fmt.Sprintf(`[host]
 id = %s
 az = %s
@@ -125,9 +143,9 @@
 
 [timing]
 renew = 500ms
-lease = 2s
+lease = %s
 margin = 500ms
-`, h.id, az, h.api, h.peer, strings.Join(peers, ", "), log, c.fleet, c.execs))
+`, h.id, az, h.api, h.peer, strings.Join(peers, ", "), log, c.fleet, c.execs, lease))
 }
 
 func (c *cluster) write(name, text string) string {
--- a/cmd/lagooncourse/path_test.go
+++ b/cmd/lagooncourse/path_test.go
@@ -353,3 +353,29 @@
 	w.pass(c, 100)
 	w.finish(c)
 }
+
+// TestFrozenKeeper freezes an entry host for longer than the leases of the
+// workers that it keeps, while tasks run on them that outlast the freeze. When
+// it wakes it has heard nothing from its workers for longer than any lease, and
+// must not take that for their loss: their new keeper has renewed them.
+func TestFrozenKeeper(t *testing.T) {
+	c := startCluster(t, clusterConfig{hosts: 3, workers: 12, executors: 6, workMs: 5, lease: "5s"})
+	key := c.team("lab", roomy)
+	w := &workload{key: key, calls: map[string]error{}}
+	for i := range 24 {
+		spec := small("survey", 20_000).WithSubmission(fmt.Sprintf("s%d", i))
+		spec.Idempotent = true
+		spec.Az = azs[0] // so that most homes are on other hosts than the keeper
+		j, err := c.client(key).Submit(context.Background(), spec)
+		assert.NilError(t, err)
+		w.jobs = append(w.jobs, j.ID)
+	}
+	c.until("all tasks run", func() bool { return len(c.runs()) >= len(w.jobs) })
+	frozen := time.Now()
+	c.hosts[0].signal(t, syscall.SIGSTOP)
+	c.until("the other hosts own all groups", func() bool { return c.owned(1, 2) == len(azs) })
+	c.until("every lease that the frozen host gave has run out", func() bool { return time.Since(frozen) > 10*time.Second })
+	c.hosts[0].signal(t, syscall.SIGCONT)
+	w.checkJobs(c)
+	assert.Equal(t, len(c.runs()), len(w.jobs), "a task ran again")
+}
--- a/internal/node/entry/duty.go
+++ b/internal/node/entry/duty.go
@@ -74,6 +74,7 @@
 		return false
 	}
 	if og.g.Epoch() > 0 {
+		og.noOwner = now // after a hand-over the others come first
 		if rank == 0 {
 			og.away = now
 		}
--- a/internal/node/owner/commit.go
+++ b/internal/node/owner/commit.go
@@ -175,6 +175,27 @@
 	return nil, false
 }
 
+// confirmOwner returns an error unless the log shows that this host still owns
+// the group now. What it says about its workers is only then the last word.
+func (g *Group) confirmOwner(ctx context.Context) error {
+	g.mu.Lock()
+	replay, epoch := g.replay, g.epoch
+	g.mu.Unlock()
+	if epoch == 0 {
+		return notOwner(g.cfg.Name)
+	}
+	if err := g.catchUp(ctx, replay); err != nil {
+		return err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.state.Epoch != epoch || g.epoch != epoch {
+		g.lose("another host claimed it")
+		return notOwner(g.cfg.Name)
+	}
+	return nil
+}
+
 // noteLog remembers whether the log answers.
 func (g *Group) noteLog(err error) {
 	down := err != nil && !fault.Is(err, fault.Overload)
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -5,8 +5,8 @@
 // A group plays two parts. As the home of its jobs it records what was
 // accepted, every intent and every end. As the keeper of its workers it books
 // room and talks to them. A job's home may place tasks on any group's workers;
-// the two parts then talk through the Remote interface, and through direct
-// calls when both are the same group.
+// the two parts talk through the Remote interface, also when both are the same
+// group.
 //
 // The order that keeps the promises:
 //
--- a/internal/node/owner/keep.go
+++ b/internal/node/owner/keep.go
@@ -117,9 +117,13 @@
 			g.renewed(k, epoch, r, inv)
 			continue
 		}
-		if g.notRenewed(k, epoch, err) {
+		stop, overdue := g.notRenewed(k, epoch, err)
+		if stop {
 			return
 		}
+		if overdue {
+			g.loseWorker(k, epoch, err)
+		}
 		select {
 		case <-time.After(probeEvery):
 		case <-k.ctx.Done():
@@ -257,25 +261,40 @@
 }
 
 // notRenewed takes a failed renewal. It reports whether the keeper must stop,
-// because the worker has seen a later epoch.
-func (g *Group) notRenewed(k *keeper, epoch uint64, err error) (stop bool) {
+// because the group has another owner, and whether every lease that this owner
+// has given the worker has run out.
+func (g *Group) notRenewed(k *keeper, epoch uint64, err error) (stop, overdue bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.epoch != epoch {
-		return true
+		return true, false
 	}
 	if fault.Is(err, fault.Conflict) {
 		// Only the log decides who owns the group. The next append or read
 		// will show the claim behind the later epoch.
 		g.checkOwner()
-		return false
+		return false, false
 	}
 	k.failures++
 	if k.failures >= probesToLose {
 		g.books.Unready(k.host.ID)
 	}
-	if k.lost || g.cfg.Clock.Now().Before(k.leaseEnds) {
-		return false
+	return false, !k.lost && !g.cfg.Clock.Now().Before(k.leaseEnds)
+}
+
+// loseWorker reports everything on an overdue worker as lost, if this host
+// still owns the group. A host that was paused has heard nothing from its
+// workers either, but their new keeper may have renewed them. The log is asked
+// after the leases have run out: whoever claims the group later finds that
+// the worker has stopped its tasks.
+func (g *Group) loseWorker(k *keeper, epoch uint64, err error) {
+	if g.confirmOwner(k.ctx) != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch != epoch {
+		return
 	}
 	k.lost = true
 	news := g.books.LoseWorker(k.host.ID)
@@ -283,7 +302,6 @@
 	if len(news) > 0 {
 		go g.sendReports(k.ctx)
 	}
-	return false
 }
 
 // checkOwner proposes an empty batch, whose fate shows whether the epoch still
--- a/internal/node/owner/serve.go
+++ b/internal/node/owner/serve.go
@@ -128,7 +128,12 @@
 }
 
 // Where says what became of attempts that were meant for the group's workers.
-func (g *Group) Where(_ context.Context, msg wire.WhereMsg) (a wire.WhereAnswer, err error) {
+// It asks the log first: an owner that was paused would call absent what a
+// later owner has started.
+func (g *Group) Where(ctx context.Context, msg wire.WhereMsg) (a wire.WhereAnswer, err error) {
+	if err := g.confirmOwner(ctx); err != nil {
+		return a, err
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.epoch == 0 {
