Let only a confirmed owner call an unknown end recorded

A home that had lost its group without knowing it answered 'recorded' to the report of an attempt that it did not know, since a later owner had started it. The keeper forgot the end; the later owner asked, was told 'absent', and started attempt 2.

Ruled out: the refusals of starts (NotRun only without a connection or from the worker itself), and the keeper's own 'absent', which asks the log since the commit before.

TestRecordedOnlyByOwner failed before and passes after; it brings the claim between the two reports, where the scenario needs luck. go test work passes.

--- a/internal/node/owner/home.go
+++ b/internal/node/owner/home.go
@@ -60,16 +60,37 @@
 
 // Report records the ends of attempts of the group's jobs. An attempt that is
 // not the running one of its task counts as recorded: either its end was
-// recorded before, or its job is gone.
+// recorded before, or its job is gone. That is the last word only of an owner
+// that the log has confirmed; an attempt that is unknown here may be one that a
+// later owner has started, and its end must not be forgotten.
 func (g *Group) Report(ctx context.Context, msg wire.ReportMsg) (a wire.ReportAnswer, err error) {
+	records, err := g.endsOf(msg)
+	if err == nil && len(records) < len(msg.Reports) {
+		if err = g.confirmOwner(ctx); err == nil {
+			records, err = g.endsOf(msg)
+		}
+	}
+	if err == nil && len(records) > 0 {
+		err = g.commit(ctx, records...)
+	}
+	if err != nil {
+		return wire.ReportAnswer{}, err
+	}
+	for _, r := range msg.Reports {
+		a.Recorded = append(a.Recorded, r.Attempt)
+	}
+	return a, nil
+}
+
+// endsOf returns the records for those reports that end a running attempt.
+func (g *Group) endsOf(msg wire.ReportMsg) ([]group.Record, error) {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	if g.epoch == 0 {
-		g.mu.Unlock()
-		return a, notOwner(g.cfg.Name)
+		return nil, notOwner(g.cfg.Name)
 	}
 	var records []group.Record
 	for _, r := range msg.Reports {
-		a.Recorded = append(a.Recorded, r.Attempt)
 		ref, err := jobs.ParseRef(r.Attempt.Task)
 		if err != nil {
 			continue
@@ -81,14 +102,7 @@
 			}})
 		}
 	}
-	g.mu.Unlock()
-	if len(records) == 0 {
-		return a, nil
-	}
-	if err := g.commit(ctx, records...); err != nil {
-		return wire.ReportAnswer{}, err
-	}
-	return a, nil
+	return records, nil
 }
 
 // reconcileLoop looks after attempts in doubt.
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -165,3 +165,20 @@
 	replay.Take(p)
 	assert.Equal(t, len(replay.Machine.(*group.State).Jobs), 0)
 }
+
+// TestRecordedOnlyByOwner checks that a group calls the end of an attempt that
+// it does not know recorded only as long as the log shows it as the owner: the
+// attempt may be a later owner's, whose end would be forgotten unrecorded.
+func TestRecordedOnlyByOwner(t *testing.T) {
+	g, log := ownedGroup(t)
+	msg := wire.ReportMsg{Group: "a-0", Reports: []books.Report{
+		{Attempt: books.Attempt{Task: "a-0.1/0", Number: 1}, Worker: "w1", How: jobs.EndOK},
+	}}
+	a, err := g.Report(context.Background(), msg)
+	assert.NilError(t, err)
+	assert.Equal(t, len(a.Recorded), 1)
+	claimedByOther(t, log)
+	a, err = g.Report(context.Background(), msg)
+	assert.Assert(t, fault.Is(err, fault.NotOwner), "%v", err)
+	assert.Equal(t, len(a.Recorded), 0)
+}
