--- a/internal/node/entry/cell.go
+++ b/internal/node/entry/cell.go
@@ -24,8 +24,8 @@
 // that it had read everything. A host for which that is not so cannot tell
 // whether a key has been withdrawn. It refuses work, unless nobody can have
 // published anything either: every host that has not left is heard, there is at
-// least one, and none of them has read the log's end within FreshFor. The table of cases is in
-// docs/design/0004-freshness.md.
+// least one, and none of them has read the log's end within FreshFor. The table
+// of cases is in docs/design/0004-freshness.md.
 type follower struct {
 	log      stream.Log
 	table    *peers.Table
--- a/internal/node/entry/cell_test.go
+++ b/internal/node/entry/cell_test.go
@@ -12,6 +12,7 @@
 	"lagooncourse/internal/base/conf"
 	"lagooncourse/internal/base/httpd"
 	"lagooncourse/internal/base/logs"
+	"lagooncourse/internal/base/polls"
 	"lagooncourse/internal/cell/config"
 	"lagooncourse/internal/cell/jobs"
 	"lagooncourse/internal/plat/fakes"
@@ -23,12 +24,7 @@
 
 func until(t testing.TB, what string, ok func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(pollBound); !ok(); {
-		if time.Now().After(deadline) {
-			t.Fatalf("not so within %s: %s", pollBound, what)
-		}
-		time.Sleep(10 * time.Millisecond)
-	}
+	polls.Until(t, pollBound, what, ok)
 }
 
 // testCell is a cell in one process on real sockets.
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -11,6 +11,7 @@
 	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/logs"
+	"lagooncourse/internal/base/polls"
 	"lagooncourse/internal/cell/books"
 	"lagooncourse/internal/cell/config"
 	"lagooncourse/internal/cell/group"
@@ -97,14 +98,10 @@
 	return g, log
 }
 
+// until polls a condition up to a bound.
 func until(t *testing.T, ok func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(10 * time.Second); !ok(); {
-		if time.Now().After(deadline) {
-			t.Fatal("not so within 10 s")
-		}
-		time.Sleep(time.Millisecond)
-	}
+	polls.Until(t, 10*time.Second, "the awaited state", ok)
 }
 
 // claimedByOther appends another host's claim of the next epoch.
--- a/internal/node/route/route_test.go
+++ b/internal/node/route/route_test.go
@@ -13,6 +13,7 @@
 
 	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/polls"
 	"lagooncourse/internal/node/wire"
 	"lagooncourse/internal/plat/hosts"
 	"lagooncourse/internal/plat/target"
@@ -72,12 +73,7 @@
 // until polls a condition up to a bound.
 func until(t *testing.T, ok func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(10 * time.Second); !ok(); {
-		if time.Now().After(deadline) {
-			t.Fatal("not so within 10 s")
-		}
-		time.Sleep(time.Millisecond)
-	}
+	polls.Until(t, 10*time.Second, "the awaited state", ok)
 }
 
 // TestPoolSlots checks that a pool never puts more calls on a target than it
