--- a/internal/base/frame/client.go
+++ b/internal/base/frame/client.go
@@ -62,6 +62,16 @@
 	}
 }
 
+// Drop closes the connection to addr, if there is one. The next call dials.
+func (p *Pool) Drop(addr string) {
+	p.mu.Lock()
+	l := p.links[addr]
+	p.mu.Unlock()
+	if l != nil {
+		l.fail()
+	}
+}
+
 // Close drops every connection. Later calls fail with NotRun.
 func (p *Pool) Close() {
 	p.mu.Lock()
--- a/internal/base/httpd/server.go
+++ b/internal/base/httpd/server.go
@@ -34,6 +34,9 @@
 	Name   string       // for the base library's statistics
 	Addr   string       // IP:port; port 0 picks a free one
 	Routes []rest.Route // patterns with :name parameters
+	// Fallback answers what no route matches; nil answers 404. A server whose
+	// paths are known only at run time has nothing but a fallback.
+	Fallback http.Handler
 }
 
 // Server is an HTTP server with an open listener.
@@ -60,7 +63,10 @@
 	rc.Log.Mode = "console"
 	rc.Log.Level = "severe"
 	rc.Log.Stat = false
-	rs, err := rest.NewServer(rc, rest.WithNotFoundHandler(http.HandlerFunc(notFound)))
+	if cfg.Fallback == nil {
+		cfg.Fallback = http.HandlerFunc(notFound)
+	}
+	rs, err := rest.NewServer(rc, rest.WithNotFoundHandler(cfg.Fallback))
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
--- a/internal/base/logs/logs.go
+++ b/internal/base/logs/logs.go
@@ -32,14 +32,18 @@
 // switched off, since its lines carry no part prefix.
 func New(w io.Writer, level string) logr.Logger {
 	logx.Disable()
-	min := slog.LevelInfo
-	switch level {
+	return logr.FromSlogHandler(&handler{w: w, mu: &sync.Mutex{}, min: levelOf(level)})
+}
+
+// levelOf returns the level of that name.
+func levelOf(name string) slog.Level {
+	switch name {
 	case "debug":
-		min = slog.LevelDebug
+		return slog.LevelDebug
 	case "error":
-		min = slog.LevelError
+		return slog.LevelError
 	}
-	return logr.FromSlogHandler(&handler{w: w, mu: &sync.Mutex{}, min: min})
+	return slog.LevelInfo
 }
 
 // Discard returns a logger that drops every line.
--- /dev/null
+++ b/internal/cell/sched/place.go
@@ -0,0 +1,330 @@
+package sched
+
+import (
+	"sort"
+
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/cell/trust"
+)
+
+// Start is an order to run a task. It may be sent once the intent is stored.
+type Start struct {
+	Worker  string
+	Addr    string
+	Born    int64
+	Ref     Ref
+	Run     int
+	Payload string
+	Saved   string
+	Ticket  string
+	part    partKey
+}
+
+// Plan is what is to be done now.
+type Plan struct {
+	Starts []Start
+	Wants  []Want
+}
+
+// mostPlanned bounds the starts of one plan, so that one append carries them.
+const mostPlanned = 200
+
+// Plan places waiting tasks, by priority and then by due time. Tasks that find
+// no room do not hold up others.
+func (p *Planner) Plan(now Instant) Plan {
+	var plan Plan
+	order := make([]*part, 0, len(p.waiting))
+	for _, pt := range p.waiting {
+		if p.timely(pt, now) {
+			order = append(order, pt)
+		}
+	}
+	sort.Slice(order, func(a, b int) bool { return p.before(order[a], order[b]) })
+	for _, pt := range order {
+		if len(plan.Starts) >= mostPlanned {
+			break
+		}
+		p.place(pt, &plan, now)
+	}
+	return plan
+}
+
+// timely reports whether the part's occurrence is due.
+func (p *Planner) timely(pt *part, now Instant) bool {
+	spec := pt.job.Spec
+	return spec.Times == 0 || now.Wall >= spec.FirstMs+int64(pt.occ)*spec.EveryMs
+}
+
+func (p *Planner) before(a, b *part) bool {
+	pa, pb := p.view.Queues[a.job.Spec.Queue].Priority, p.view.Queues[b.job.Spec.Queue].Priority
+	if pa != pb {
+		return pa < pb
+	}
+	if a.due != b.due {
+		return a.due < b.due
+	}
+	ka, kb := a.key(), b.key()
+	if ka.job != kb.job {
+		return ka.job < kb.job
+	}
+	if ka.occ != kb.occ {
+		return ka.occ < kb.occ
+	}
+	return ka.step < kb.step
+}
+
+// place starts what fits of a part, and asks for the advice that the rest needs.
+func (p *Planner) place(pt *part, plan *Plan, now Instant) {
+	var idle []int
+	for i, t := range pt.tasks() {
+		if t.State == Waiting {
+			idle = append(idle, i)
+		}
+	}
+	idle = p.withinLimit(pt, idle)
+	if len(idle) == 0 {
+		return
+	}
+	sites := p.sites(pt, len(idle), now)
+	if pt.wholeGang() && len(sites) < len(idle) || len(sites) == 0 {
+		p.ask(pt, len(idle), plan, now)
+		return
+	}
+	run := 0
+	if pt.wholeGang() {
+		run = gangRun(pt.tasks())
+	}
+	for n, w := range sites {
+		p.start(pt, idle[n], run, w, plan, now)
+	}
+	if len(sites) < len(idle) {
+		p.ask(pt, len(idle)-len(sites), plan, now)
+		return
+	}
+	if len(idle) == pt.spec().Count || pt.wholeGang() {
+		delete(p.waiting, pt.key())
+	}
+	p.refresh(pt.job, now)
+}
+
+func (p *Planner) ask(pt *part, need int, plan *Plan, now Instant) {
+	if w, ok := p.want(pt, need, now); ok {
+		plan.Wants = append(plan.Wants, w)
+	}
+}
+
+// withinLimit cuts the tasks to what the team may have running in addition. A
+// gang is cut to nothing.
+func (p *Planner) withinLimit(pt *part, idle []int) []int {
+	spec := pt.job.Spec
+	l, ok := p.view.Teams[spec.Team]
+	if !ok {
+		return idle
+	}
+	size := pt.spec().charge()
+	room := unlimited(l.Max).Minus(p.used[spec.Team])
+	n := slots(room, size, len(idle))
+	if pt.wholeGang() && n < len(idle) {
+		return nil
+	}
+	return idle[:n]
+}
+
+// unlimited replaces the dimensions that have no limit.
+func unlimited(s jobs.Size) jobs.Size {
+	for _, d := range []*int64{&s.CPU, &s.Mem, &s.Accel} {
+		if *d == 0 {
+			*d = jobs.Unlimited
+		}
+	}
+	return s
+}
+
+// gangRun returns the next run number of a gang, which its members share.
+func gangRun(tasks []Task) int {
+	run := 0
+	for _, t := range tasks {
+		run = max(run, t.Run)
+	}
+	return run + 1
+}
+
+// site is a worker that could take tasks of a part.
+type site struct {
+	w     *Worker
+	slots int
+	far   bool  // away from the data
+	left  int64 // CPU left after one task
+}
+
+// sites chooses a worker for each of up to n tasks, fullest first, so that
+// wide tasks find room elsewhere. A gang that has to share a rack gets one
+// rack or nothing.
+func (p *Planner) sites(pt *part, n int, now Instant) []*Worker {
+	s := pt.spec()
+	var list []site
+	for _, w := range p.workers {
+		if !p.usable(w, pt, now) {
+			continue
+		}
+		most := n
+		if s.Apart > 0 {
+			most = min(most, s.Apart-p.onWorker(pt, w))
+		}
+		k := slots(w.free(), s.charge(), most)
+		if k <= 0 {
+			continue
+		}
+		if _, ok := p.ticket(w, pt, now); !ok {
+			continue
+		}
+		list = append(list, site{w, k, s.Near != "" && w.Rack != s.Near, w.free().CPU - s.Size.CPU})
+	}
+	sort.Slice(list, func(a, b int) bool {
+		if list[a].far != list[b].far {
+			return !list[a].far
+		}
+		if list[a].left != list[b].left {
+			return list[a].left < list[b].left
+		}
+		return list[a].w.ID < list[b].w.ID
+	})
+	if s.Gang && s.SameRack {
+		list = oneRack(list, n)
+	}
+	var out []*Worker
+	for _, c := range list {
+		for range c.slots {
+			if len(out) == n {
+				return out
+			}
+			out = append(out, c.w)
+		}
+	}
+	return out
+}
+
+// oneRack keeps the sites of the first rack that has room for n tasks, or all
+// of them when no rack has.
+func oneRack(list []site, n int) []site {
+	sum := map[string]int{}
+	for _, c := range list {
+		sum[c.w.Rack] += c.slots
+	}
+	for _, c := range list {
+		if sum[c.w.Rack] < n {
+			continue
+		}
+		var same []site
+		for _, d := range list {
+			if d.w.Rack == c.w.Rack {
+				same = append(same, d)
+			}
+		}
+		return same
+	}
+	return list
+}
+
+// onWorker counts the part's tasks that are booked on the worker.
+func (p *Planner) onWorker(pt *part, w *Worker) int {
+	n := 0
+	for r := range w.runs {
+		if r.Job == pt.job.Spec.ID && r.Occ == pt.occ && r.Step == pt.step {
+			n++
+		}
+	}
+	return n
+}
+
+// trusted reports whether the worker may be given the part, by what it did
+// with earlier work.
+func (p *Planner) trusted(w *Worker, pt *part, now Instant) bool {
+	switch p.trust.State(w.ID, now.Ms) {
+	case trust.Trusted:
+		return true
+	case trust.Probing:
+		return len(w.runs) == 0 && !pt.wholeGang()
+	}
+	return false
+}
+
+// start books a task on a worker.
+func (p *Planner) start(pt *part, index, run int, w *Worker, plan *Plan, now Instant) {
+	t := &pt.tasks()[index]
+	if run == 0 {
+		run = t.Run + 1
+	}
+	t.State, t.Run, t.Worker, t.Born = Placed, run, w.ID, w.Born
+	ref := pt.ref(index)
+	p.book(w, &booking{ref: ref, run: run, size: pt.spec().charge(), team: pt.job.Spec.Team, phase: phaseIntent, sinceMs: now.Ms})
+	p.dirty[ref.Job] = true
+	ticket, _ := p.ticket(w, pt, now)
+	plan.Starts = append(plan.Starts, Start{
+		Worker: w.ID, Addr: w.Addr, Born: w.Born, Ref: ref, Run: run, Payload: pt.job.Spec.Payload,
+		Saved: t.Saved, Ticket: ticket, part: pt.key(),
+	})
+}
+
+// Release returns which of the starts may be sent now that their intents are
+// stored. The others are undone: their worker, ticket or job has changed.
+func (p *Planner) Release(starts []Start, now Instant) (send []Start) {
+	bad := map[partKey]bool{}
+	for _, s := range starts {
+		if !p.sendable(s, now) {
+			bad[s.part] = true
+		}
+	}
+	for _, s := range starts {
+		w := p.workers[s.Worker]
+		b := p.bookingOf(w, s)
+		if b == nil {
+			continue
+		}
+		pt := p.parts[s.part]
+		if bad[s.part] && (pt == nil || pt.wholeGang() || !p.sendable(s, now)) {
+			p.release(w, s.Ref)
+			p.requeue(s.Ref, s.Run, now)
+			continue
+		}
+		b.phase, b.sinceMs = phaseSent, now.Ms
+		send = append(send, s)
+	}
+	return send
+}
+
+func (p *Planner) bookingOf(w *Worker, s Start) *booking {
+	if w == nil {
+		return nil
+	}
+	b := w.runs[s.Ref]
+	if b == nil || b.run != s.Run || b.phase != phaseIntent && b.phase != phaseSent {
+		return nil
+	}
+	return b
+}
+
+func (p *Planner) sendable(s Start, now Instant) bool {
+	pt, w := p.parts[s.part], p.workers[s.Worker]
+	if pt == nil || w == nil || w.Born != s.Born || p.bookingOf(w, s) == nil || !p.usable(w, pt, now) {
+		return false
+	}
+	_, ok := p.ticket(w, pt, now)
+	return ok
+}
+
+// requeue lets a task wait again after its run has been settled without a
+// result.
+func (p *Planner) requeue(r Ref, run int, now Instant) {
+	j := p.state.Jobs[r.Job]
+	if j == nil {
+		return
+	}
+	t := j.task(r)
+	if t == nil || t.State != Placed || t.Run != run {
+		return
+	}
+	t.State = Waiting
+	p.dirty[r.Job] = true
+	p.refresh(j, now)
+}
--- /dev/null
+++ b/internal/cell/sched/report.go
@@ -0,0 +1,381 @@
+package sched
+
+import "lagooncourse/internal/cell/trust"
+
+// Outcome is what came of an order to start a run.
+type Outcome uint8
+
+// The outcomes.
+const (
+	StartUp       Outcome = iota // the worker has confirmed it
+	StartRefused                 // nothing was done
+	StartNoTicket                // refused for its ticket
+	StartNoRoom                  // refused for want of room
+	StartOld                     // refused: a run with this number or a higher one has ended there
+	StartUnknown                 // no answer; it may happen yet
+)
+
+// Pauses after refusals.
+const (
+	busyPauseMs = 500 // a worker that is overloaded or unhealthy
+	roomPauseMs = 200 // a worker that has less room than it seems
+)
+
+// Started takes the outcome of a start.
+func (p *Planner) Started(s Start, o Outcome, now Instant) {
+	w := p.workers[s.Worker]
+	b := p.bookingOf(w, s)
+	if b == nil {
+		return
+	}
+	switch o {
+	case StartUp:
+		b.phase, b.sinceMs = phaseUp, now.Ms
+		if j := p.state.Jobs[s.Ref.Job]; j == nil || j.Progress.Verdict != Open {
+			p.stop(w, s.Ref, s.Run)
+		}
+		return
+	case StartUnknown:
+		p.stop(w, s.Ref, s.Run)
+		p.breakGang(s.Ref, now)
+		return
+	case StartNoTicket:
+		if pt := p.parts[s.part]; pt != nil {
+			g := pt.advice.grants[s.Worker]
+			g.untilMs = 0
+			pt.advice.grants[s.Worker] = g
+		}
+	case StartNoRoom:
+		w.penalty = now.Ms + roomPauseMs
+	case StartRefused:
+		w.penalty = now.Ms + busyPauseMs
+	}
+	p.release(w, s.Ref)
+	p.requeue(s.Ref, s.Run, now)
+	p.breakGang(s.Ref, now)
+}
+
+// breakGang stops the other members of a gang of which one did not start.
+func (p *Planner) breakGang(r Ref, now Instant) {
+	j := p.state.Jobs[r.Job]
+	if j == nil || !j.Spec.Steps[r.Step].Gang {
+		return
+	}
+	for i, t := range j.stepTasks(r.Occ, r.Step) {
+		if t.State == Placed {
+			p.stopTask(j, Ref{r.Job, r.Occ, r.Step, i})
+		}
+	}
+}
+
+// StopDenied takes note that a worker has confirmed a stop at the instant
+// confirmed: a list that was asked for later tells whether the run exists.
+func (p *Planner) StopDenied(s Stop, now Instant) {
+	w := p.workers[s.Worker]
+	if w == nil {
+		return
+	}
+	if b := w.runs[s.Ref]; b != nil && b.run == s.Run && b.phase != phaseIntent {
+		b.phase, b.sinceMs = phaseDenied, now.Ms
+	}
+}
+
+// SetWorker takes an entry of the registry.
+func (p *Planner) SetWorker(info WorkerInfo, now Instant) {
+	w := p.workers[info.ID]
+	if w == nil {
+		w = newWorker(info)
+		w.sureMs = now.Ms + p.cfg.SilenceMs + p.leaseBound()
+		p.workers[info.ID] = w
+	}
+	born := w.Born
+	if info.Born != 0 && born != 0 && info.Born > born && len(w.runs) > 0 {
+		p.reborn(w, info.Born, now)
+	}
+	if info.Born < born {
+		info.Born = born
+	}
+	w.WorkerInfo = info
+	w.present = true
+}
+
+// DropWorker takes note that the registry has no entry for a worker any more.
+func (p *Planner) DropWorker(id string) {
+	if w := p.workers[id]; w != nil {
+		w.present = false
+	}
+}
+
+// Targets returns the workers that are to be kept in contact: those that the
+// registry lists and those that may still run something.
+func (p *Planner) Targets() []WorkerInfo {
+	var list []WorkerInfo
+	for _, w := range p.workers {
+		if w.Addr != "" && (w.present || len(w.runs) > 0) {
+			list = append(list, w.WorkerInfo)
+		}
+	}
+	return list
+}
+
+// Worker returns what the registry says about a worker that is in use.
+func (p *Planner) Worker(id string) (WorkerInfo, bool) {
+	w := p.workers[id]
+	if w == nil || w.Addr == "" || !w.present && len(w.runs) == 0 {
+		return WorkerInfo{}, false
+	}
+	return w.WorkerInfo, true
+}
+
+// Applied returns the highest number of an end of the worker that was applied.
+func (p *Planner) Applied(id string) int64 {
+	if w := p.workers[id]; w != nil {
+		return w.seen
+	}
+	return 0
+}
+
+// reborn takes note of a new incarnation, which runs nothing of before.
+func (p *Planner) reborn(w *Worker, born int64, now Instant) {
+	w.Born, w.seen, w.stored, w.listed = born, 0, 0, false
+	p.loseAll(w, now, func(*booking) bool { return true })
+}
+
+// loseAll ends the bookings that match as lost.
+func (p *Planner) loseAll(w *Worker, now Instant, match func(*booking) bool) {
+	for ref, b := range w.runs {
+		if !match(b) {
+			continue
+		}
+		p.release(w, ref)
+		p.requeue(ref, b.run, now)
+		p.breakGang(ref, now)
+	}
+}
+
+// Renewing takes note that a call that renews the worker's lease is about to be
+// sent.
+func (p *Planner) Renewing(id string, now Instant) {
+	if w := p.workers[id]; w != nil {
+		w.sureMs = max(w.sureMs, now.Ms+p.leaseBound())
+	}
+}
+
+// Unanswered takes note of a call without an answer. It reports whether the
+// worker had answered the one before.
+func (p *Planner) Unanswered(id string, now Instant) (lostContact bool) {
+	w := p.workers[id]
+	if w == nil {
+		return false
+	}
+	lostContact = w.contact
+	w.contact = false
+	return lostContact
+}
+
+// Tick gives up what is surely lost, and returns the workers given up.
+func (p *Planner) Tick(now Instant) (lost []string) {
+	for id, w := range p.workers {
+		if w.contact || now.Ms < w.sureMs {
+			continue
+		}
+		if len(w.runs) > 0 {
+			lost = append(lost, id)
+			p.loseAll(w, now, func(b *booking) bool { return b.phase != phaseIntent })
+		}
+		if !w.present && len(w.runs) == 0 {
+			delete(p.workers, id)
+		}
+	}
+	return lost
+}
+
+// Lists is what a worker has answered to a call that was sent at the instant
+// SentMs.
+type Lists struct {
+	SentMs   int64
+	Born     int64
+	Running  []Running
+	Finished []Finished
+}
+
+// maxFinished is how many ends a worker lists at a time.
+const maxFinished = 500
+
+// Listed takes the lists of a worker.
+func (p *Planner) Listed(id string, l Lists, now Instant) {
+	w := p.workers[id]
+	if w == nil {
+		return
+	}
+	if l.Born != 0 && w.Born != 0 && l.Born != w.Born {
+		if l.Born < w.Born {
+			return
+		}
+		p.reborn(w, l.Born, now)
+	}
+	if l.Born != 0 {
+		if w.Born == 0 {
+			w.Born = l.Born
+		}
+		p.loseAll(w, now, func(b *booking) bool { return b.phase == phaseAdopted && p.bornOf(b) != 0 && p.bornOf(b) != l.Born })
+	}
+	w.listed, w.contact = true, true
+	for _, f := range l.Finished {
+		if f.N <= w.seen {
+			continue
+		}
+		w.seen = f.N
+		p.finished(w, f, now)
+	}
+	p.checkRunning(w, l, now)
+}
+
+// bornOf returns the incarnation for which a run was placed.
+func (p *Planner) bornOf(b *booking) int64 {
+	if j := p.state.Jobs[b.ref.Job]; j != nil {
+		if t := j.task(b.ref); t != nil {
+			return t.Born
+		}
+	}
+	return 0
+}
+
+// checkRunning compares what runs with what is booked.
+func (p *Planner) checkRunning(w *Worker, l Lists, now Instant) {
+	there := make(map[Ref]bool, len(l.Running))
+	for _, r := range l.Running {
+		ref, ok := ParseRef(r.Task)
+		if !ok {
+			continue
+		}
+		there[ref] = true
+		p.running(w, ref, r)
+	}
+	if len(l.Finished) >= maxFinished {
+		return
+	}
+	for ref, b := range w.runs {
+		if there[ref] || b.sinceMs >= l.SentMs {
+			continue
+		}
+		switch b.phase {
+		case phaseAdopted, phaseDenied:
+			p.release(w, ref)
+			p.requeue(ref, b.run, now)
+			p.breakGang(ref, now)
+		case phaseUp:
+			p.stop(w, ref, b.run)
+		}
+	}
+}
+
+// running takes one entry of the list of what runs.
+func (p *Planner) running(w *Worker, ref Ref, r Running) {
+	b := w.runs[ref]
+	if b == nil || b.run != r.Run {
+		p.stops = append(p.stops, Stop{Worker: w.ID, Ref: ref, Run: r.Run})
+		return
+	}
+	if b.phase == phaseAdopted {
+		b.phase = phaseUp
+	}
+	j := p.state.Jobs[ref.Job]
+	if j == nil || j.Progress.Verdict != Open {
+		p.stop(w, ref, r.Run)
+		return
+	}
+	if t := j.task(ref); t != nil && t.Run == r.Run && r.Saved != "" {
+		p.save(j, ref, r.Saved)
+	}
+}
+
+// finished takes one end.
+func (p *Planner) finished(w *Worker, f Finished, now Instant) {
+	ref, ok := ParseRef(f.Task)
+	if !ok {
+		return
+	}
+	if b := w.runs[ref]; b != nil && b.run <= f.Run {
+		p.release(w, ref)
+	}
+	j := p.state.Jobs[ref.Job]
+	if j == nil {
+		return
+	}
+	t := j.task(ref)
+	if t == nil {
+		return
+	}
+	p.judge(w, ref, f, now)
+	if t.State == Done || t.Run > f.Run || t.State == Waiting && f.How != EndDone {
+		return
+	}
+	p.dirty[ref.Job] = true
+	if f.Saved != "" {
+		p.save(j, ref, f.Saved)
+	}
+	p.settle(j, ref, t, f, now)
+	p.refresh(j, now)
+}
+
+// judge tells the record of the worker's ends about one that speaks of it.
+func (p *Planner) judge(w *Worker, ref Ref, f Finished, now Instant) {
+	if f.How == EndDone || f.How == EndFailed {
+		p.trust.Note(trust.End{Worker: w.ID, Job: ref.Job, OK: f.How == EndDone, AtMs: now.Ms})
+	}
+}
+
+// save keeps a checkpoint; that of one member is valid for the whole gang.
+func (p *Planner) save(j *Job, ref Ref, saved string) {
+	if !j.Spec.Steps[ref.Step].Gang {
+		j.task(ref).Saved = saved
+		return
+	}
+	tasks := j.stepTasks(ref.Occ, ref.Step)
+	for i := range tasks {
+		tasks[i].Saved = saved
+	}
+}
+
+// settle changes the task's state by the end of its newest run.
+func (p *Planner) settle(j *Job, ref Ref, t *Task, f Finished, now Instant) {
+	s := j.Spec.Steps[ref.Step]
+	switch {
+	case f.How == EndDone && s.Lasts:
+		t.State = Waiting
+	case f.How == EndDone && s.Gang:
+		tasks := j.stepTasks(ref.Occ, ref.Step)
+		for i := range tasks {
+			tasks[i].State = Done
+		}
+	case f.How == EndDone:
+		t.State = Done
+	case f.How == EndFailed:
+		p.fail(j, ref, t, f, now)
+	default:
+		t.State = Waiting
+		p.breakGang(ref, now)
+	}
+}
+
+// fail counts a failed run; a gang counts each run once.
+func (p *Planner) fail(j *Job, ref Ref, t *Task, f Finished, now Instant) {
+	s := j.Spec.Steps[ref.Step]
+	t.State = Waiting
+	counted := t
+	if s.Gang {
+		counted = &j.stepTasks(ref.Occ, ref.Step)[0]
+		pt := p.parts[partKey{ref.Job, ref.Occ, ref.Step}]
+		if pt == nil || pt.failRun == f.Run {
+			return
+		}
+		pt.failRun = f.Run
+		p.breakGang(ref, now)
+	}
+	counted.Fails++
+	attempts := p.view.Queues[j.Spec.Queue].Attempts
+	if !s.Lasts && attempts > 0 && counted.Fails >= attempts && j.Progress.Verdict == Open {
+		p.end(j, JobFailed, now)
+	}
+}
--- /dev/null
+++ b/internal/cell/sched/state.go
@@ -0,0 +1,156 @@
+package sched
+
+import (
+	"github.com/ansel1/merry/v2"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/frame"
+)
+
+// Prefixes of the keys under which records are stored.
+const (
+	specPrefix     = "j"
+	progressPrefix = "p"
+	claimKey       = "o"
+)
+
+// Job is a job as the records describe it.
+type Job struct {
+	Spec     Spec
+	Progress Progress
+
+	first []int // index of the first task of each step within an occurrence
+	width int   // tasks of one occurrence
+}
+
+// State is what the records of the jobs' topic amount to. It is a pure
+// function of them: of each key the newest record counts, so a reader may
+// start from any compacted prefix.
+type State struct {
+	Jobs  map[string]*Job
+	Claim Claim
+	Next  int64 // offset of the first record not applied yet
+
+	orphans map[string]Progress // progress read before its spec
+}
+
+// NewState returns the state of an empty topic.
+func NewState() *State {
+	return &State{Jobs: map[string]*Job{}, orphans: map[string]Progress{}}
+}
+
+// newJob returns a job with all tasks waiting.
+func newJob(spec Spec) *Job {
+	j := &Job{Spec: spec}
+	for _, s := range spec.Steps {
+		j.first = append(j.first, j.width)
+		j.width += s.Count
+	}
+	j.Progress.Tasks = make([]Task, j.width*max(spec.Times, 1))
+	return j
+}
+
+// occurrences returns how often the job's steps run.
+func (j *Job) occurrences() int { return len(j.Progress.Tasks) / max(j.width, 1) }
+
+// task returns the task that ref names, nil if the job has none of that name.
+func (j *Job) task(r Ref) *Task {
+	if r.Step < 0 || r.Step >= len(j.first) || r.Index < 0 || r.Index >= j.Spec.Steps[r.Step].Count {
+		return nil
+	}
+	i := r.Occ*j.width + j.first[r.Step] + r.Index
+	if r.Occ < 0 || i >= len(j.Progress.Tasks) {
+		return nil
+	}
+	return &j.Progress.Tasks[i]
+}
+
+// stepTasks returns the tasks of one step of an occurrence.
+func (j *Job) stepTasks(occ, step int) []Task {
+	from := occ*j.width + j.first[step]
+	return j.Progress.Tasks[from : from+j.Spec.Steps[step].Count]
+}
+
+// Apply takes one record into the state.
+func (s *State) Apply(key string, value []byte) (err error) {
+	defer fault.Note(&err, "record %q", key)
+	if key == claimKey {
+		s.Claim, err = frame.Decode[Claim](value)
+		return err
+	}
+	if len(key) < 2 {
+		return merry.New("key names nothing")
+	}
+	id := key[1:]
+	switch key[:1] {
+	case specPrefix:
+		return s.applySpec(id, value)
+	case progressPrefix:
+		return s.applyProgress(id, value)
+	}
+	return merry.New("key has an unknown prefix")
+}
+
+func (s *State) applySpec(id string, value []byte) error {
+	if len(value) == 0 {
+		delete(s.Jobs, id)
+		delete(s.orphans, id)
+		return nil
+	}
+	spec, err := frame.Decode[Spec](value)
+	if err != nil {
+		return err
+	}
+	if s.Jobs[id] != nil {
+		return nil
+	}
+	j := newJob(spec)
+	if p, ok := s.orphans[id]; ok && len(p.Tasks) == len(j.Progress.Tasks) {
+		j.Progress = p
+	}
+	delete(s.orphans, id)
+	s.Jobs[id] = j
+	return nil
+}
+
+func (s *State) applyProgress(id string, value []byte) error {
+	j := s.Jobs[id]
+	if len(value) == 0 {
+		delete(s.orphans, id)
+		return nil
+	}
+	p, err := frame.Decode[Progress](value)
+	if err != nil {
+		return err
+	}
+	if j == nil {
+		s.orphans[id] = p
+		return nil
+	}
+	if len(p.Tasks) != len(j.Progress.Tasks) {
+		return merry.Errorf("progress of %d tasks for a job of %d", len(p.Tasks), len(j.Progress.Tasks))
+	}
+	j.Progress = p
+	return nil
+}
+
+// ClaimRecord returns the record of a claim.
+func ClaimRecord(c Claim) (key string, value []byte, err error) {
+	value, err = frame.Encode(c)
+	return claimKey, value, err
+}
+
+// SpecRecord returns the record of an acceptance.
+func SpecRecord(spec Spec) (key string, value []byte, err error) {
+	value, err = frame.Encode(spec)
+	return specPrefix + spec.ID, value, err
+}
+
+// ProgressRecord returns the record of a job's progress.
+func ProgressRecord(id string, p Progress) (key string, value []byte, err error) {
+	value, err = frame.Encode(p)
+	return progressPrefix + id, value, err
+}
+
+// DropKeys returns the keys to drop when a job is forgotten.
+func DropKeys(id string) []string { return []string{progressPrefix + id, specPrefix + id} }
--- /dev/null
+++ b/internal/node/gate/claim.go
@@ -0,0 +1,299 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/cell/sched"
+	"lagooncourse/internal/node/lead"
+	"lagooncourse/internal/plat/ports"
+)
+
+// replica is a host's copy of the jobs' records. The host that owns the jobs
+// hands its copy to the planner and reads everything anew afterwards.
+type replica struct {
+	state  *sched.State
+	loaded bool      // the newest record of each expired key has been read
+	grew   time.Time // when a record was read last
+	busy   bool      // being read or claimed
+}
+
+func newReplica() *replica { return &replica{state: sched.NewState()} }
+
+// Timing of the copy.
+const (
+	replicaEvery   = 500 * time.Millisecond
+	replicaTimeout = 1500 * time.Millisecond
+	claimEvery     = 50 * time.Millisecond
+	claimTries     = 6
+	claimPause     = 50 * time.Millisecond
+)
+
+// An epoch is a counter and a random part, so that two hosts that claim at the
+// same time use different epochs.
+const epochRandomBits = 10
+
+func nextEpoch(last int64) int64 {
+	return (last>>epochRandomBits+1)<<epochRandomBits | (1 + rand.Int64N(1<<epochRandomBits-1))
+}
+
+// replicaLoop keeps the copy warm.
+func (h *Host) replicaLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		h.mu.Lock()
+		idle := h.lead == nil && !h.replica.busy
+		h.mu.Unlock()
+		if idle {
+			if err := h.follow(ctx); err != nil {
+				h.log.V(1).Info("records not read", "err", err.Error())
+			}
+		}
+		sleep(ctx, replicaEvery)
+	}
+}
+
+// follow brings the copy up to date. It is a no-op while another call does.
+func (h *Host) follow(ctx context.Context) (err error) {
+	h.mu.Lock()
+	r := h.replica
+	if r.busy || h.lead != nil {
+		h.mu.Unlock()
+		return fault.New(fault.Conflict, fault.NotRun, "the records are being read")
+	}
+	r.busy = true
+	h.mu.Unlock()
+	before := r.state.Next
+	err = h.read(ctx, r, -1)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r.busy = false
+	if r.state.Next > before {
+		r.grew = h.clock.Now()
+	}
+	if c := r.state.Claim; c.Epoch > h.own.epoch {
+		h.setOwner(c.Epoch, c.Addr)
+	}
+	return err
+}
+
+// read applies records until the end of the topic, or up to the offset to.
+func (h *Host) read(ctx context.Context, r *replica, to int64) error {
+	for {
+		rctx, cancel := context.WithTimeout(ctx, replicaTimeout)
+		page, err := h.store.Read(rctx, ports.ReadRequest{Topic: h.cfg.JobTopic, From: r.state.Next})
+		cancel()
+		var gone *ports.GoneError
+		if errors.As(err, &gone) {
+			if err := h.readNewest(ctx, r); err != nil {
+				return err
+			}
+			continue
+		}
+		if err != nil {
+			return err
+		}
+		if r.state.Next < page.First {
+			if err := h.readNewest(ctx, r); err != nil {
+				return err
+			}
+			continue
+		}
+		for _, rec := range page.Records {
+			h.apply(r.state, rec)
+			r.state.Next = rec.Offset + 1
+		}
+		if len(page.Records) == 0 || r.state.Next >= page.End || to >= 0 && r.state.Next > to {
+			return nil
+		}
+	}
+}
+
+// readNewest starts the copy anew from the newest record of each key.
+func (h *Host) readNewest(ctx context.Context, r *replica) error {
+	s := sched.NewState()
+	end, after := int64(-1), ""
+	for {
+		rctx, cancel := context.WithTimeout(ctx, replicaTimeout)
+		n, err := h.store.Newest(rctx, h.cfg.JobTopic, after)
+		cancel()
+		if err != nil {
+			return err
+		}
+		for _, rec := range n.Records {
+			h.apply(s, rec)
+		}
+		if end < 0 {
+			end = n.End
+		}
+		if after = n.More; after == "" {
+			break
+		}
+	}
+	s.Next = end
+	r.state = s
+	return nil
+}
+
+func (h *Host) apply(s *sched.State, rec ports.Record) {
+	if err := s.Apply(rec.Key, rec.Value); err != nil {
+		h.log.Error(err, "record ignored", "offset", rec.Offset)
+	}
+}
+
+// claimLoop claims the ownership when nobody holds it.
+func (h *Host) claimLoop(ctx context.Context) {
+	sleep(ctx, firstPings)
+	for ctx.Err() == nil {
+		if h.mayClaim() {
+			h.tryClaim(ctx)
+		}
+		sleep(ctx, claimEvery)
+	}
+}
+
+// mayClaim applies the rule of contest to what this host knows.
+func (h *Host) mayClaim() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.lead != nil || h.leaving {
+		return false
+	}
+	now := h.clock.Now()
+	c := contest{self: h.addr, now: now, silent: now.Sub(h.own.heard), invited: h.invited, grows: now.Sub(h.replica.grew) < 2*replicaEvery+claimStagger}
+	if h.own.addr == "" || h.own.addr == h.addr {
+		c.silent += suspectAfter - firstPings // nobody to wait for
+	}
+	for _, p := range h.peers {
+		if p.heard.IsZero() {
+			continue
+		}
+		c.peers = append(c.peers, *p)
+	}
+	h.invited = false
+	return c.shouldClaim()
+}
+
+// tryClaim reads all records, claims, and starts to act as the owner.
+func (h *Host) tryClaim(ctx context.Context) {
+	began := h.clock.Now()
+	h.mu.Lock()
+	known := h.own
+	h.mu.Unlock()
+	if err := h.follow(ctx); err != nil {
+		h.log.V(1).Info("cannot claim", "err", err.Error())
+		return
+	}
+	h.mu.Lock()
+	if h.own.epoch != known.epoch && h.own.addr != h.addr || h.replica.busy {
+		h.mu.Unlock() // a claim that this host had not heard of
+		return
+	}
+	r := h.replica
+	r.busy = true
+	h.mu.Unlock()
+	c := sched.Claim{Epoch: nextEpoch(max(r.state.Claim.Epoch, known.epoch)), Host: h.cfg.Host, Addr: h.addr}
+	offset, err := h.claim(ctx, c)
+	if err == nil {
+		err = h.read(ctx, r, offset)
+	}
+	if err == nil && r.state.Claim.Epoch > c.Epoch {
+		err = fault.New(fault.Conflict, fault.NotRun, "host %q has claimed epoch %d", r.state.Claim.Host, r.state.Claim.Epoch)
+	}
+	h.log.Info("claim", "epoch", c.Epoch, "offset", offset, "silentMs", began.Sub(known.heard).Milliseconds(),
+		"tookMs", h.clock.Now().Sub(began).Milliseconds(), "ok", err == nil)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if err != nil || h.leaving {
+		h.replica = newReplica()
+		return
+	}
+	h.become(c, r.state)
+}
+
+// claim appends the claim record, and repeats it until the outcome is known.
+func (h *Host) claim(ctx context.Context, c sched.Claim) (offset int64, err error) {
+	key, value, err := sched.ClaimRecord(c)
+	if err != nil {
+		return 0, err
+	}
+	req := ports.AppendRequest{Topic: h.cfg.JobTopic, Writer: lead.Writer, Epoch: c.Epoch, Records: []ports.Record{{Key: key, Value: value}}}
+	for try := 0; try < claimTries && ctx.Err() == nil; try++ {
+		actx, cancel := context.WithTimeout(ctx, replicaTimeout)
+		offset, err = h.store.Append(actx, req)
+		cancel()
+		if err == nil || answered(err) {
+			return offset, err
+		}
+		sleep(ctx, claimPause)
+	}
+	return offset, err
+}
+
+// become starts the owner. The caller holds the lock.
+func (h *Host) become(c sched.Claim, s *sched.State) {
+	l := lead.Start(lead.Config{
+		Claim: c, Topic: h.cfg.JobTopic, State: s, Store: h.store, Workers: h.cfg.Workers, Advisers: h.desks,
+		Registry: h.cfg.WorkerTopic, Parse: h.cfg.ParseWorker, WorkerID: h.cfg.WorkerID, View: h.site.view(),
+		Clock: h.clock, Logger: h.cfg.Logger, Metrics: h.leadMet, KeepMs: h.cfg.KeepMs, Far: h.cfg.Far, LeaseMax: h.cfg.LeaseMax,
+	})
+	h.lead = l
+	h.setOwner(c.Epoch, h.addr)
+	go h.announce()
+	go func() {
+		<-l.Done()
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		if h.lead == l {
+			h.lead = nil
+			h.replica = newReplica()
+			h.own.heard = h.clock.Now() // the host that has claimed is heard soon
+			close(h.changed)
+			h.changed = make(chan struct{})
+		}
+	}()
+}
+
+// announce tells all peers of a new owner.
+func (h *Host) announce() {
+	h.mu.Lock()
+	var addrs []string
+	for addr := range h.peers {
+		addrs = append(addrs, addr)
+	}
+	h.mu.Unlock()
+	for _, addr := range addrs {
+		go h.ping(context.Background(), addr)
+	}
+}
+
+// handOver ends the ownership and asks a peer to claim it.
+func (h *Host) handOver(ctx context.Context) {
+	h.mu.Lock()
+	l := h.lead
+	h.mu.Unlock()
+	_ = h.register(ctx, nil) // without the entry's removal peers find out by themselves
+	if l == nil {
+		return
+	}
+	l.Stop("the process is asked to end")
+	select {
+	case <-l.Done():
+	case <-ctx.Done():
+		return
+	}
+	for _, addr := range h.storePeers(len(h.peers)) {
+		msg := h.self()
+		msg.Claim, msg.Leaving, msg.Owner, msg.OwnerAgeMs = true, true, "", time.Hour.Milliseconds()
+		rctx, cancel := context.WithTimeout(ctx, pingTimeout)
+		_, err := frame.Call(rctx, h.pool, addr, pingMethod, msg)
+		cancel()
+		if err == nil {
+			h.log.Info("handed over", "to", addr)
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/gate/metrics.go
@@ -0,0 +1,76 @@
+package gate
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+)
+
+type metrics struct {
+	requests *prometheus.HistogramVec
+}
+
+// requestBuckets are in seconds, up to the callers' deadline.
+var requestBuckets = []float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2, 3, 5}
+
+func newMetrics(reg *prometheus.Registry) *metrics {
+	m := &metrics{requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "lagooncourse_request_seconds", Help: "Time to answer a caller.", Buckets: requestBuckets,
+	}, []string{"kind", "status"})}
+	reg.MustRegister(m.requests, collectors.NewGoCollector())
+	return m
+}
+
+// kindNames are the label values of callKind.
+var kindNames = [...]string{"submit", "status", "cancel", "pending"}
+
+func (m *metrics) request(k callKind, status int, d time.Duration) {
+	m.requests.WithLabelValues(kindNames[k], strconv.Itoa(status)).Observe(d.Seconds())
+}
+
+// dump is what a host believes, for people.
+type dump struct {
+	Host        string     `json:"host"`
+	Owner       string     `json:"owner"`
+	Epoch       int64      `json:"epoch"`
+	OwnerAgeMs  int64      `json:"ownerAgeMs"`
+	IsOwner     bool       `json:"isOwner"`
+	SiteVersion int64      `json:"siteVersion"`
+	SiteAgeMs   int64      `json:"siteAgeMs"`
+	Next        int64      `json:"next"`
+	Peers       []peerDump `json:"peers"`
+}
+
+type peerDump struct {
+	Addr    string `json:"addr"`
+	Az      string `json:"az"`
+	AgeMs   int64  `json:"ageMs"`
+	Leaving bool   `json:"leaving"`
+	StoreOK bool   `json:"storeOk"`
+}
+
+// serveDump writes what this host believes and how old it is.
+func (h *Host) serveDump(w http.ResponseWriter, _ *http.Request) {
+	now := h.clock.Now()
+	d := dump{Host: h.cfg.Host}
+	h.site.mu.Lock()
+	d.SiteVersion, d.SiteAgeMs = h.site.site.Version, now.Sub(h.site.heard).Milliseconds()
+	h.site.mu.Unlock()
+	h.mu.Lock()
+	d.Owner, d.Epoch, d.OwnerAgeMs, d.IsOwner = h.own.addr, h.own.epoch, now.Sub(h.own.heard).Milliseconds(), h.lead != nil
+	if !h.replica.busy && h.lead == nil {
+		d.Next = h.replica.state.Next
+	}
+	for _, p := range h.peers {
+		d.Peers = append(d.Peers, peerDump{p.addr, p.az, now.Sub(p.heard).Milliseconds(), p.leaving, p.storeOK})
+	}
+	h.mu.Unlock()
+	w.Header().Set("Content-Type", "application/json")
+	enc := json.NewEncoder(w)
+	enc.SetIndent("", "  ")
+	_ = enc.Encode(d) // the reader may be gone
+}
--- /dev/null
+++ b/internal/node/gate/relay.go
@@ -0,0 +1,179 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/plat/ports"
+)
+
+// relayStore is a store that is reached directly or, when the platform turns
+// this host away, through a peer. Appends carry epoch and sequence number, so
+// an append may be sent on both ways.
+type relayStore struct {
+	direct ports.Store
+	host   *Host
+
+	mu     sync.Mutex
+	badAt  time.Time // when a direct call failed last
+	goodAt time.Time // when a direct call succeeded last
+}
+
+var _ ports.Store = (*relayStore)(nil)
+
+// retryDirect is how long a failed direct way is left unused while peers relay.
+const retryDirect = 400 * time.Millisecond
+
+// relays is how many peers are tried for one call.
+const relays = 2
+
+// ok reports whether the store has answered this host itself lately.
+func (s *relayStore) ok(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.goodAt.IsZero() && !s.badAt.After(s.goodAt)
+}
+
+func (s *relayStore) note(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.host.clock.Now()
+	if err == nil || answered(err) {
+		if s.badAt.After(s.goodAt) {
+			s.host.log.Info("store answers again")
+		}
+		s.goodAt = now
+		return
+	}
+	if !s.badAt.After(s.goodAt) {
+		s.host.log.Info("store does not answer", "err", err.Error())
+	}
+	s.badAt = now
+}
+
+// answered reports whether the error is the store's own answer to what was
+// asked, which a peer would get too.
+func answered(err error) bool {
+	var gone *ports.GoneError
+	var refused *ports.RefusedError
+	return errors.As(err, &gone) || errors.As(err, &refused) && refused.Reason != ports.RefusedBusy && refused.Reason != ports.RefusedOther
+}
+
+// skipDirect reports whether the direct way has failed just now.
+func (s *relayStore) skipDirect() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.badAt.After(s.goodAt) && s.host.clock.Now().Sub(s.badAt) < retryDirect
+}
+
+// both tries the direct way and then peers.
+func both[T any](ctx context.Context, s *relayStore, direct func(context.Context) (T, error), relay func(context.Context, string) (T, error)) (v T, err error) {
+	err = fault.New(fault.Unavailable, fault.NotRun, "the store turns this host away")
+	if !s.skipDirect() {
+		v, err = direct(ctx)
+		s.note(err)
+		if err == nil || answered(err) {
+			return v, err
+		}
+	}
+	for _, addr := range s.host.storePeers(relays) {
+		rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), relayTimeout)
+		w, rerr := relay(rctx, addr)
+		cancel()
+		if rerr == nil || answered(rerr) {
+			return w, rerr
+		}
+		if fault.RanOf(rerr) == fault.Unknown {
+			err = rerr
+		}
+	}
+	return v, err
+}
+
+const relayTimeout = 700 * time.Millisecond
+
+// Append adds records; see ports.Store.
+func (s *relayStore) Append(ctx context.Context, r ports.AppendRequest) (int64, error) {
+	return both(ctx, s,
+		func(ctx context.Context) (int64, error) { return s.direct.Append(ctx, r) },
+		func(ctx context.Context, addr string) (int64, error) {
+			a, err := frame.Call(ctx, s.host.pool, addr, appendMethod, r)
+			if err == nil && a.Reason != "" {
+				return 0, &ports.RefusedError{Reason: a.Reason, Status: a.Status}
+			}
+			return a.Offset, err
+		})
+}
+
+// Read returns records; see ports.Store.
+func (s *relayStore) Read(ctx context.Context, r ports.ReadRequest) (ports.Page, error) {
+	return both(ctx, s,
+		func(ctx context.Context) (ports.Page, error) { return s.direct.Read(ctx, r) },
+		func(ctx context.Context, addr string) (ports.Page, error) {
+			r.Wait = 0
+			a, err := frame.Call(ctx, s.host.pool, addr, readMethod, r)
+			return a.Page, a.err(err)
+		})
+}
+
+// Newest returns the newest record of each key; see ports.Store.
+func (s *relayStore) Newest(ctx context.Context, topic, after string) (ports.Newest, error) {
+	return both(ctx, s,
+		func(ctx context.Context) (ports.Newest, error) { return s.direct.Newest(ctx, topic, after) },
+		func(ctx context.Context, addr string) (ports.Newest, error) {
+			a, err := frame.Call(ctx, s.host.pool, addr, newestMethod, newestMsg{Topic: topic, After: after})
+			return ports.Newest{Records: a.Page.Records, End: a.Page.End, More: a.More}, a.err(err)
+		})
+}
+
+func (a readAnswer) err(err error) error {
+	switch {
+	case err != nil:
+		return err
+	case a.Gone:
+		return &ports.GoneError{First: a.Page.First}
+	case a.Reason != "":
+		return &ports.RefusedError{Reason: a.Reason, Status: a.Status}
+	}
+	return nil
+}
+
+// serveAppend carries a peer's append to the store.
+func (h *Host) serveAppend(ctx context.Context, r ports.AppendRequest) (a appendAnswer, err error) {
+	offset, err := h.store.direct.Append(ctx, r)
+	h.store.note(err)
+	var refused *ports.RefusedError
+	if errors.As(err, &refused) {
+		return appendAnswer{Reason: refused.Reason, Status: refused.Status}, nil
+	}
+	return appendAnswer{Offset: offset}, err
+}
+
+// serveRead carries a peer's read to the store.
+func (h *Host) serveRead(ctx context.Context, r ports.ReadRequest) (readAnswer, error) {
+	p, err := h.store.direct.Read(ctx, r)
+	h.store.note(err)
+	return toReadAnswer(p, "", err)
+}
+
+func (h *Host) serveNewest(ctx context.Context, m newestMsg) (readAnswer, error) {
+	n, err := h.store.direct.Newest(ctx, m.Topic, m.After)
+	h.store.note(err)
+	return toReadAnswer(ports.Page{Records: n.Records, End: n.End}, n.More, err)
+}
+
+func toReadAnswer(p ports.Page, more string, err error) (readAnswer, error) {
+	var gone *ports.GoneError
+	var refused *ports.RefusedError
+	switch {
+	case errors.As(err, &gone):
+		return readAnswer{Gone: true, Page: ports.Page{First: gone.First}}, nil
+	case errors.As(err, &refused):
+		return readAnswer{Reason: refused.Reason, Status: refused.Status}, nil
+	}
+	return readAnswer{Page: p, More: more}, err
+}
--- /dev/null
+++ b/internal/node/gate/site.go
@@ -0,0 +1,269 @@
+package gate
+
+import (
+	"context"
+	"errors"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/cell/sched"
+	"lagooncourse/internal/plat/ports"
+)
+
+// OperatorRecord is what a record of the operators' topic says.
+type OperatorRecord struct {
+	Config bool
+	Az     string // availability zone that is out of service
+	Wave   string
+}
+
+// siteState is the configuration and the availability zones out of service,
+// as the operators' topic says. It never goes back to an older version.
+type siteState struct {
+	mu      sync.Mutex
+	newest  map[string]ports.Record // by key
+	next    int64
+	site    ports.Site
+	closed  map[string]bool
+	teams   map[string]string // key -> team
+	heard   time.Time         // when the topic was read last
+	changed chan struct{}
+}
+
+func newSiteState() *siteState {
+	return &siteState{newest: map[string]ports.Record{}, closed: map[string]bool{}, teams: map[string]string{}, changed: make(chan struct{})}
+}
+
+// Timing of the operators' topic.
+const (
+	sitePoll    = 2 * time.Second // how long a read waits for a record
+	siteTimeout = time.Second     // in addition to the wait
+	sitePause   = 200 * time.Millisecond
+)
+
+// ready reports whether a configuration is known.
+func (s *siteState) ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.site.Version > 0
+}
+
+// offset returns the offset up to which the topic has been read.
+func (s *siteState) offset() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.next
+}
+
+// view returns what the planner has to know.
+func (s *siteState) view() sched.View {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := sched.View{Queues: map[string]sched.Queue{}, Teams: map[string]sched.Limit{}, Closed: map[string]bool{}}
+	for _, q := range s.site.Queues {
+		v.Queues[q.Name] = q
+	}
+	for _, t := range s.site.Teams {
+		v.Teams[t.Name] = sched.Limit{Max: t.Max, Weight: t.Weight}
+	}
+	for az := range s.closed {
+		v.Closed[az] = true
+	}
+	return v
+}
+
+// route returns the queue of a call: the one with the longest prefix.
+func (s *siteState) route(host, path string) (q sched.Queue, ok bool) {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.site.Queues {
+		if strings.EqualFold(c.Host, host) && strings.HasPrefix(path, c.Prefix) && (!ok || len(c.Prefix) > len(q.Prefix)) {
+			q, ok = c, true
+		}
+	}
+	return q, ok
+}
+
+// team returns the client account to which a key belongs.
+func (s *siteState) team(key string) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t, ok := s.teams[key]
+	return t, ok
+}
+
+func (s *siteState) limits() ports.Limits {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.site.Limits
+}
+
+// siteLoop follows the operators' topic.
+func (h *Host) siteLoop(ctx context.Context) {
+	next := int64(-1)
+	for ctx.Err() == nil {
+		var err error
+		next, err = h.readSite(ctx, next)
+		if err != nil {
+			sleep(ctx, sitePause)
+		}
+	}
+}
+
+// readSite reads what is new from the offset on, or everything if it is negative.
+func (h *Host) readSite(ctx context.Context, next int64) (int64, error) {
+	if next < 0 {
+		return h.readWholeSite(ctx)
+	}
+	wait := sitePoll
+	if !h.store.ok(h.clock.Now()) {
+		wait = 0
+	}
+	rctx, cancel := context.WithTimeout(ctx, wait+siteTimeout)
+	defer cancel()
+	page, err := h.store.Read(rctx, ports.ReadRequest{Topic: h.cfg.OperatorTopic, From: next, Wait: wait})
+	var gone *ports.GoneError
+	if errors.As(err, &gone) {
+		return h.readWholeSite(ctx)
+	}
+	if err != nil {
+		return next, err
+	}
+	h.takeSite(page.Records, page.End)
+	for _, r := range page.Records {
+		next = r.Offset + 1
+	}
+	if wait == 0 && len(page.Records) == 0 {
+		sleep(ctx, sitePause)
+	}
+	return next, nil
+}
+
+// readWholeSite reads the newest record of each key.
+func (h *Host) readWholeSite(ctx context.Context) (int64, error) {
+	rctx, cancel := context.WithTimeout(ctx, siteTimeout)
+	defer cancel()
+	var all []ports.Record
+	end, after := int64(-1), ""
+	for {
+		n, err := h.store.Newest(rctx, h.cfg.OperatorTopic, after)
+		if err != nil {
+			return -1, err
+		}
+		all = append(all, n.Records...)
+		if end < 0 {
+			end = n.End
+		}
+		if n.More == "" {
+			break
+		}
+		after = n.More
+	}
+	h.site.replace(all, end)
+	h.takeSite(all, end)
+	return end, nil
+}
+
+// replace forgets the keys that a full reading does not have any more.
+func (s *siteState) replace(all []ports.Record, end int64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if end < s.next {
+		return
+	}
+	there := map[string]bool{}
+	for _, r := range all {
+		there[r.Key] = true
+	}
+	for key := range s.newest {
+		if !there[key] {
+			delete(s.newest, key)
+		}
+	}
+}
+
+// takeSite takes records of the operators' topic, from the store or a peer.
+func (h *Host) takeSite(records []ports.Record, end int64) {
+	s := h.site
+	s.mu.Lock()
+	changed := false
+	for _, r := range records {
+		if old, ok := s.newest[r.Key]; r.Key == "" || ok && old.Offset >= r.Offset {
+			continue
+		}
+		s.newest[r.Key] = r
+		changed = true
+		h.takeOperator(s, r)
+	}
+	s.next = max(s.next, end)
+	s.heard = h.clock.Now()
+	closed := map[string]bool{}
+	for key, r := range s.newest {
+		if o := h.cfg.ParseOperator(key); o.Az != "" && len(r.Value) > 0 {
+			closed[o.Az] = true
+		}
+	}
+	changed = changed || len(closed) != len(s.closed)
+	s.closed = closed
+	s.mu.Unlock()
+	if changed {
+		h.viewChanged()
+	}
+}
+
+// takeOperator takes one record. The caller holds the lock of s.
+func (h *Host) takeOperator(s *siteState, r ports.Record) {
+	o := h.cfg.ParseOperator(r.Key)
+	switch {
+	case o.Az != "":
+		h.log.Info("availability zone", "az", o.Az, "out", len(r.Value) > 0, "offset", r.Offset)
+	case o.Config && len(r.Value) > 0:
+		site, err := h.cfg.ParseSite(r.Value)
+		if err != nil {
+			h.log.Error(err, "configuration ignored", "offset", r.Offset)
+			return
+		}
+		if site.Version <= s.site.Version {
+			return
+		}
+		h.log.Info("configuration", "version", site.Version, "before", s.site.Version, "offset", r.Offset)
+		s.site = site
+		s.teams = map[string]string{}
+		for _, t := range site.Teams {
+			for _, k := range t.Keys {
+				s.teams[k] = t.Name
+			}
+		}
+	}
+}
+
+// serveSite answers a peer whose configuration is older.
+func (h *Host) serveSite(_ context.Context, m siteMsg) (siteAnswer, error) {
+	s := h.site
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := siteAnswer{Next: s.next}
+	if m.Next >= s.next {
+		return a, nil
+	}
+	for _, r := range s.newest {
+		a.Records = append(a.Records, r)
+	}
+	return a, nil
+}
+
+// catchUp takes the configuration of a peer that has a newer one.
+func (h *Host) catchUp(ctx context.Context, addr string) {
+	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+	defer cancel()
+	a, err := frame.Call(ctx, h.pool, addr, siteMethod, siteMsg{Next: h.site.offset()})
+	if err == nil {
+		h.takeSite(a.Records, a.Next)
+	}
+}
--- /dev/null
+++ b/internal/node/lead/metrics.go
@@ -0,0 +1,89 @@
+package lead
+
+import (
+	"errors"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/plat/ports"
+)
+
+// Metrics counts what an owner does. A nil Metrics counts nothing.
+type Metrics struct {
+	appends *prometheus.HistogramVec
+	starts  *prometheus.HistogramVec
+	holds   *prometheus.CounterVec
+	advices *prometheus.CounterVec
+}
+
+// latencyBuckets are in seconds, from one round trip to an outage of the store.
+var latencyBuckets = []float64{.002, .005, .01, .02, .05, .1, .25, .5, 1, 2.5, 5, 10}
+
+// NewMetrics registers the metrics of an owner.
+func NewMetrics(reg prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		appends: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lagooncourse_append_seconds", Help: "Time until an append was confirmed.", Buckets: latencyBuckets,
+		}, []string{"repeated"}),
+		starts: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "lagooncourse_start_seconds", Help: "Time of an order to start a task.", Buckets: latencyBuckets,
+		}, []string{"outcome"}),
+		holds: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lagooncourse_holds_total", Help: "Lease renewals sent to workers.",
+		}, []string{"outcome"}),
+		advices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "lagooncourse_advice_total", Help: "Questions to the advice service.",
+		}, []string{"outcome"}),
+	}
+	reg.MustRegister(m.appends, m.starts, m.holds, m.advices)
+	return m
+}
+
+func (m *Metrics) append(d time.Duration, tries int) {
+	if m == nil {
+		return
+	}
+	repeated := "no"
+	if tries > 0 {
+		repeated = "yes"
+	}
+	m.appends.WithLabelValues(repeated).Observe(d.Seconds())
+}
+
+func (m *Metrics) start(d time.Duration, err error) {
+	if m != nil {
+		m.starts.WithLabelValues(outcomeLabel(err)).Observe(d.Seconds())
+	}
+}
+
+func (m *Metrics) hold(err error) {
+	if m != nil {
+		m.holds.WithLabelValues(outcomeLabel(err)).Inc()
+	}
+}
+
+func (m *Metrics) advice(ok bool) {
+	if m == nil {
+		return
+	}
+	label := "ok"
+	if !ok {
+		label = "failed"
+	}
+	m.advices.WithLabelValues(label).Inc()
+}
+
+func outcomeLabel(err error) string {
+	var refused *ports.RefusedError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &refused):
+		return "refused"
+	case fault.RanOf(err) == fault.NotRun:
+		return "refused"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/node/lead/order.go
@@ -0,0 +1,388 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/cell/sched"
+	"lagooncourse/internal/plat/ports"
+)
+
+// Timing of orders and lists.
+const (
+	startTimeout  = 400 * time.Millisecond // workers answer within a few ms; a repeat of a start is harmless
+	startTries    = 2
+	stopTimeout   = 500 * time.Millisecond
+	stopPause     = 150 * time.Millisecond
+	holdWait      = 1500 * time.Millisecond // below the worker's bound of 2 s, several to a lease
+	holdTimeout   = 700 * time.Millisecond  // in addition to the wait
+	holdPause     = 100 * time.Millisecond  // after a failure
+	maxHoldPause  = 1500 * time.Millisecond
+	storedTimeout = time.Second // renews the lease while the store is away
+)
+
+// mayRenew reports whether the owner is sure enough of its ownership to renew
+// leases. The caller holds the lock.
+func (l *Lead) mayRenew() bool {
+	return l.cfg.Clock.Now().Sub(l.confirmed) < silenceMs*time.Millisecond
+}
+
+// leaseEnd returns the end of a lease that begins now, on the worker's clock; 0
+// if the clock is not known or nothing may be renewed. The caller holds the lock.
+func (l *Lead) leaseEnd(id string) int64 {
+	c, ok := l.clocks[id]
+	if !ok || !l.mayRenew() {
+		return 0
+	}
+	l.plan.Renewing(id, l.now())
+	return c.clock + l.cfg.Clock.Now().Sub(c.at).Milliseconds() + l.lease()
+}
+
+// send sends a start and, if there is no answer, once more.
+func (l *Lead) send(s sched.Start) {
+	out := sched.StartUnknown
+	var err error
+	for try := 0; try < startTries && out == sched.StartUnknown; try++ {
+		l.mu.Lock()
+		end := l.leaseEnd(s.Worker)
+		l.mu.Unlock()
+		if end == 0 {
+			if try == 0 {
+				out = sched.StartRefused
+			}
+			break
+		}
+		ctx, cancel := context.WithTimeout(l.ctx, startTimeout)
+		sent := l.cfg.Clock.Now()
+		_, err = l.cfg.Workers.Start(ctx, ports.StartOrder{
+			Peer: ports.Peer{ID: s.Worker, Addr: s.Addr}, Token: l.cfg.Claim.Epoch, Task: s.Ref.String(), Run: s.Run,
+			Payload: s.Payload, LeaseEnd: end, Saved: s.Saved, Ticket: s.Ticket,
+		})
+		cancel()
+		l.cfg.Metrics.start(l.cfg.Clock.Now().Sub(sent), err)
+		out = l.outcome(err, try, out)
+	}
+	l.mu.Lock()
+	l.plan.Started(s, out, l.now())
+	l.takeStops()
+	l.mu.Unlock()
+	if out != sched.StartUp {
+		l.wake()
+	}
+	l.log.Info("start", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker, "outcome", out, "err", errText(err))
+}
+
+func errText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// outcome reads the answer to a start. A refusal of a repeat says nothing about
+// the first order, which may still be under way.
+func (l *Lead) outcome(err error, try int, before sched.Outcome) sched.Outcome {
+	if err == nil {
+		return sched.StartUp
+	}
+	var refused *ports.RefusedError
+	if !errors.As(err, &refused) {
+		if fault.RanOf(err) == fault.NotRun && try == 0 {
+			return sched.StartRefused
+		}
+		return sched.StartUnknown
+	}
+	if refused.Reason == ports.RefusedFence {
+		l.Stop("a worker has seen a later owner")
+	}
+	if try > 0 {
+		return sched.StartUnknown
+	}
+	switch refused.Reason {
+	case ports.RefusedTicket:
+		return sched.StartNoTicket
+	case ports.RefusedRoom:
+		return sched.StartNoRoom
+	case ports.RefusedOld:
+		return sched.StartOld
+	}
+	return sched.StartRefused
+}
+
+// takeStops sends the stops that the planner has asked for. The caller holds
+// the lock.
+func (l *Lead) takeStops() {
+	for _, s := range l.plan.TakeStops() {
+		if !l.stops[s] {
+			l.stops[s] = true
+			go l.stop(s)
+		}
+	}
+}
+
+// stop repeats a stop until the worker has confirmed it or is given up.
+func (l *Lead) stop(s sched.Stop) {
+	defer func() {
+		l.mu.Lock()
+		delete(l.stops, s)
+		l.mu.Unlock()
+	}()
+	for l.ctx.Err() == nil {
+		info, ok := l.worker(s.Worker)
+		if !ok {
+			return
+		}
+		ctx, cancel := context.WithTimeout(l.ctx, stopTimeout)
+		err := l.cfg.Workers.Stop(ctx, ports.StopOrder{
+			Peer: ports.Peer{ID: info.ID, Addr: info.Addr}, Token: l.cfg.Claim.Epoch, Task: s.Ref.String(), Run: s.Run,
+		})
+		cancel()
+		l.log.Info("stop", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker, "err", errText(err))
+		if l.stopSettled(s, err) {
+			return
+		}
+		time.Sleep(stopPause)
+	}
+}
+
+// stopSettled takes the answer to a stop. A refusal other than by load says
+// that the run is not there and will not be.
+func (l *Lead) stopSettled(s sched.Stop, err error) bool {
+	var refused *ports.RefusedError
+	switch {
+	case err == nil:
+	case !errors.As(err, &refused) || refused.Reason == ports.RefusedBusy:
+		return false
+	case refused.Reason == ports.RefusedFence:
+		l.Stop("a worker has seen a later owner")
+		return true
+	case refused.Reason == ports.RefusedReborn:
+		return true
+	}
+	l.mu.Lock()
+	l.plan.StopDenied(s, l.now())
+	l.mu.Unlock()
+	return true
+}
+
+// worker returns what the registry says about a worker that is in use.
+func (l *Lead) worker(id string) (sched.WorkerInfo, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.plan.Worker(id)
+}
+
+// holdLoop renews a worker's lease and takes its lists until the worker is of
+// no use any more.
+func (l *Lead) holdLoop(ctx context.Context, id string) {
+	pause := holdPause
+	for ctx.Err() == nil {
+		info, ok := l.worker(id)
+		if !ok {
+			return
+		}
+		ends, err := l.hold(ctx, info)
+		switch {
+		case err != nil:
+			sleep(ctx, pause)
+			pause = min(2*pause, maxHoldPause)
+			continue
+		case ends:
+			l.awaitStored(ctx)
+		}
+		pause = holdPause
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
+// awaitStored waits for the next append, so that a worker is not asked again
+// while it still lists ends that are not stored.
+func (l *Lead) awaitStored(ctx context.Context) {
+	l.mu.Lock()
+	ch := l.stored
+	l.mu.Unlock()
+	t := time.NewTimer(storedTimeout)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-ch:
+	case <-t.C:
+	}
+}
+
+// hold makes one call to a worker. It reports whether there were new ends.
+func (l *Lead) hold(ctx context.Context, info sched.WorkerInfo) (ends bool, err error) {
+	l.mu.Lock()
+	_, known := l.clocks[info.ID]
+	req := ports.HoldRequest{
+		Peer: ports.Peer{ID: info.ID, Addr: info.Addr}, Token: l.cfg.Claim.Epoch, LeaseEnd: l.leaseEnd(info.ID),
+		Seen: l.plan.Seen(info.ID),
+	}
+	l.mu.Unlock()
+	if known {
+		req.Wait = holdWait
+	}
+	sent := l.now()
+	ctx, cancel := context.WithTimeout(ctx, req.Wait+holdTimeout)
+	defer cancel()
+	h, err := l.cfg.Workers.Hold(ctx, req)
+	at := l.cfg.Clock.Now()
+	l.cfg.Metrics.hold(err)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.holdFailed(info, err)
+		return false, err
+	}
+	l.clocks[info.ID] = workerClock{clock: h.Clock, at: at}
+	before := l.plan.Applied(info.ID)
+	l.plan.Listed(info.ID, sched.Lists{SentMs: sent.Ms, Born: h.Born, Running: h.Running, Finished: h.Finished}, l.now())
+	l.logEnds(info.ID, before, h.Finished)
+	l.takeStops()
+	ends = l.plan.Applied(info.ID) > l.plan.Seen(info.ID)
+	if ends || !known {
+		l.wake()
+	}
+	return ends, nil
+}
+
+// logEnds writes a line for each end that is new.
+func (l *Lead) logEnds(worker string, before int64, finished []sched.Finished) {
+	for _, f := range finished {
+		if f.N > before {
+			l.log.Info("end", "task", f.Task, "run", f.Run, "how", f.How, "worker", worker)
+		}
+	}
+}
+
+// holdFailed takes note of a call without lists. The caller holds the lock.
+func (l *Lead) holdFailed(info sched.WorkerInfo, err error) {
+	if l.plan.Unanswered(info.ID, l.now()) {
+		l.log.Info("worker does not answer", "worker", info.ID, "err", err.Error())
+	}
+	delete(l.clocks, info.ID)
+	var refused *ports.RefusedError
+	if errors.As(err, &refused) && refused.Reason == ports.RefusedFence {
+		l.Stop("a worker has seen a later owner")
+	}
+}
+
+// registryLoop follows the workers' entries.
+func (l *Lead) registryLoop() {
+	next := int64(-1)
+	for l.ctx.Err() == nil {
+		var err error
+		next, err = l.readRegistry(next)
+		if err != nil {
+			l.log.V(1).Info("registry not read", "err", err.Error())
+		}
+		sleep(l.ctx, registryEvery)
+	}
+}
+
+// readRegistry reads what is new from the offset on, or the newest entries if
+// the offset is negative. It returns the next offset.
+func (l *Lead) readRegistry(next int64) (int64, error) {
+	ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
+	defer cancel()
+	if next < 0 {
+		return l.readAllEntries(ctx)
+	}
+	page, err := l.cfg.Store.Read(ctx, ports.ReadRequest{Topic: l.cfg.Registry, From: next})
+	var gone *ports.GoneError
+	if errors.As(err, &gone) {
+		return l.readAllEntries(ctx)
+	}
+	if err != nil {
+		return next, err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range page.Records {
+		l.entry(r)
+		next = r.Offset + 1
+	}
+	l.syncHolds()
+	return next, nil
+}
+
+// readAllEntries reads the newest entry of each worker; the others are gone.
+func (l *Lead) readAllEntries(ctx context.Context) (int64, error) {
+	var all []ports.Record
+	end, after := int64(-1), ""
+	for {
+		n, err := l.cfg.Store.Newest(ctx, l.cfg.Registry, after)
+		if err != nil {
+			return -1, err
+		}
+		all = append(all, n.Records...)
+		if end < 0 {
+			end = n.End
+		}
+		if n.More == "" {
+			break
+		}
+		after = n.More
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	there := map[string]bool{}
+	for _, r := range all {
+		there[l.cfg.WorkerID(r.Key)] = true
+		l.entry(r)
+	}
+	for _, info := range l.plan.Targets() {
+		if !there[info.ID] {
+			l.plan.DropWorker(info.ID)
+		}
+	}
+	l.syncHolds()
+	return end, nil
+}
+
+// entry takes one record of the registry. The caller holds the lock.
+func (l *Lead) entry(r ports.Record) {
+	if r.Key == "" {
+		return
+	}
+	id := l.cfg.WorkerID(r.Key)
+	if len(r.Value) == 0 {
+		l.log.Info("worker left the registry", "worker", id)
+		l.plan.DropWorker(id)
+		return
+	}
+	info, err := l.cfg.Parse(r.Key, r.Value)
+	if err != nil {
+		l.log.Info("registry entry ignored", "key", r.Key, "err", err.Error())
+		return
+	}
+	l.plan.SetWorker(info, l.now())
+}
+
+// syncHolds runs a loop for each worker that is in use. The caller holds the lock.
+func (l *Lead) syncHolds() {
+	for _, info := range l.plan.Targets() {
+		if l.holds[info.ID] != nil || l.ctx.Err() != nil {
+			continue
+		}
+		ctx, cancel := context.WithCancel(l.ctx)
+		l.holds[info.ID] = cancel
+		go func() {
+			defer cancel()
+			l.holdLoop(ctx, info.ID)
+			l.mu.Lock()
+			delete(l.holds, info.ID)
+			l.mu.Unlock()
+		}()
+	}
+}
--- /dev/null
+++ b/internal/node/lead/write.go
@@ -0,0 +1,229 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/cell/sched"
+	"lagooncourse/internal/plat/ports"
+)
+
+// writeLoop runs a cycle after each event, and now and then without one.
+func (l *Lead) writeLoop() {
+	defer l.refuseAll()
+	timer := time.NewTicker(planEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.kick:
+		case <-timer.C:
+		}
+		if !l.cycle() {
+			return
+		}
+	}
+}
+
+// cycle stores what is due and does what had to wait for that. It returns
+// false when the ownership has ended.
+func (l *Lead) cycle() bool {
+	w, err := l.prepare()
+	if err != nil {
+		l.log.Error(err, "records not encoded")
+		l.Stop("records not encoded")
+		return false
+	}
+	for _, want := range w.plan.Wants {
+		go l.ask(want)
+	}
+	for {
+		if len(w.batch.Keys) > 0 && !l.store(w.batch) {
+			return false
+		}
+		l.mu.Lock()
+		l.plan.Stored(w.batch)
+		if w.batch.Complete {
+			l.finish(w)
+			l.mu.Unlock()
+			break
+		}
+		w.batch, err = l.plan.TakeDirty(l.now())
+		l.mu.Unlock()
+		if err != nil {
+			l.Stop("records not encoded")
+			return false
+		}
+	}
+	l.answer(w)
+	return true
+}
+
+// work is what one cycle does.
+type work struct {
+	plan    sched.Plan
+	batch   *sched.Batch
+	submits []*submission
+	cancels []*cancellation
+	send    []sched.Start
+	unknown map[*cancellation]bool
+}
+
+// prepare takes what waits and lets the planner decide.
+func (l *Lead) prepare() (w *work, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := l.now()
+	w = &work{submits: l.submits, cancels: l.cancels, unknown: map[*cancellation]bool{}}
+	l.submits, l.cancels = nil, nil
+	for _, s := range w.submits {
+		l.plan.Accept(s.spec, now)
+	}
+	for _, c := range w.cancels {
+		w.unknown[c] = !l.plan.Cancel(c.id, now)
+	}
+	for _, id := range l.plan.Tick(now) {
+		l.log.Info("worker lost", "worker", id)
+	}
+	w.plan = l.plan.Plan(now)
+	for _, want := range w.plan.Wants {
+		l.plan.Asked(want)
+	}
+	w.batch, err = l.plan.TakeDirty(now)
+	if err == nil && w.batch.Empty() && l.cfg.Clock.Now().Sub(l.confirmed) > idleEvery {
+		err = l.addSign(w.batch)
+	}
+	return w, err
+}
+
+// addSign adds a record that shows that the owner lives.
+func (l *Lead) addSign(b *sched.Batch) error {
+	key, value, err := sched.ClaimRecord(l.cfg.Claim)
+	b.Keys, b.Values = append(b.Keys, key), append(b.Values, value)
+	return err
+}
+
+// finish releases the starts whose intents are stored. The caller holds the lock.
+func (l *Lead) finish(w *work) {
+	w.send = l.plan.Release(w.plan.Starts, l.now())
+	if len(w.batch.Keys) > 0 {
+		close(l.stored)
+		l.stored = make(chan struct{})
+	}
+	l.takeStops()
+}
+
+// answer sends what a cycle has made possible.
+func (l *Lead) answer(w *work) {
+	for _, s := range w.submits {
+		l.log.Info("accepted job", "job", s.spec.ID, "queue", s.spec.Queue, "team", s.spec.Team, "steps", len(s.spec.Steps))
+		s.done <- nil
+	}
+	for _, c := range w.cancels {
+		if w.unknown[c] {
+			c.done <- fault.New(fault.NotFound, fault.NotRun, "no job %q", c.id)
+			continue
+		}
+		l.log.Info("cancelled job", "job", c.id)
+		c.done <- nil
+	}
+	for _, s := range w.send {
+		go l.send(s)
+	}
+}
+
+// store appends a batch and repeats it until its outcome is known. It returns
+// false when the ownership has ended.
+func (l *Lead) store(b *sched.Batch) bool {
+	req := ports.AppendRequest{Topic: l.cfg.Topic, Writer: Writer, Epoch: l.cfg.Claim.Epoch, Seq: l.seq}
+	for i, key := range b.Keys {
+		req.Records = append(req.Records, ports.Record{Key: key, Value: b.Values[i]})
+	}
+	for tries := 0; ; tries++ {
+		sent := l.cfg.Clock.Now()
+		ctx, cancel := context.WithTimeout(l.ctx, appendTimeout)
+		_, err := l.cfg.Store.Append(ctx, req)
+		cancel()
+		if err == nil {
+			l.cfg.Metrics.append(l.cfg.Clock.Now().Sub(sent), tries)
+			l.mu.Lock()
+			l.stuckFrom = time.Time{}
+			l.confirmed = sent
+			l.mu.Unlock()
+			l.seq++
+			return true
+		}
+		if l.ctx.Err() != nil {
+			return false
+		}
+		var refused *ports.RefusedError
+		if errors.As(err, &refused) && (refused.Reason == ports.RefusedFence || refused.Reason == ports.RefusedSequence) {
+			l.Stop("another owner writes: " + string(refused.Reason))
+			return false
+		}
+		l.noteStuck(sent, err, tries)
+		time.Sleep(busyPause)
+	}
+}
+
+// noteStuck takes note of an append without success.
+func (l *Lead) noteStuck(sent time.Time, err error, tries int) {
+	l.mu.Lock()
+	if l.stuckFrom.IsZero() {
+		l.stuckFrom = sent
+	}
+	l.takeStops()
+	l.mu.Unlock()
+	if tries == 0 {
+		l.log.Info("append not confirmed", "err", err.Error(), "seq", l.seq)
+	}
+	l.refuseLate()
+}
+
+// refuseLate refuses the submissions that came while the store does not
+// answer, of which nothing was sent.
+func (l *Lead) refuseLate() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.cfg.Clock.Now().Sub(l.stuckFrom) < storeStuck {
+		return
+	}
+	for _, s := range l.submits {
+		s.done <- fault.New(fault.Unavailable, fault.NotRun, "the store does not answer").WithRetryAfter(retryAfterOutage)
+	}
+	l.submits = nil
+}
+
+// refuseAll answers everybody who still waits when the ownership ends.
+func (l *Lead) refuseAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, s := range l.submits {
+		s.done <- errStopped()
+	}
+	for _, c := range l.cancels {
+		c.done <- errStopped()
+	}
+	l.submits, l.cancels = nil, nil
+}
+
+// ask gets advice and hands it to the planner.
+func (l *Lead) ask(want sched.Want) {
+	ctx, cancel := context.WithTimeout(l.ctx, adviceTimeout+time.Duration(2*want.CostMs)*time.Millisecond)
+	defer cancel()
+	a, age, err := l.cfg.Advisers.Advise(ctx, want)
+	now := l.now()
+	l.mu.Lock()
+	l.plan.Advised(want, a.Tickets, err == nil, now.Ms-age.Milliseconds(), now)
+	l.mu.Unlock()
+	l.cfg.Metrics.advice(err == nil)
+	l.log.Info("advice", "step", want.Step, "asked", len(want.Workers), "allowed", len(a.Tickets), "ok", err == nil)
+	l.wake()
+}
+
+// adviceTimeout is added to twice what the answer should take, for questions
+// that wait before it.
+const adviceTimeout = time.Second
--- /dev/null
+++ b/internal/tool/cmds/platform.go
@@ -0,0 +1,85 @@
+package cmds
+
+import (
+	"context"
+	"io"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"lagooncourse/internal/base/logs"
+	"lagooncourse/internal/node/gate"
+	"lagooncourse/platform"
+)
+
+// Names of our own topics in the platform's store.
+const (
+	jobTopic  = "jobs"
+	hostTopic = "hosts"
+)
+
+const (
+	memoryShare = 0.7  // of the machine's memory, for the Go heap
+	stopMargin  = 1500 * time.Millisecond
+	logLines    = 8192 // lines that wait for a slow reader of the log
+)
+
+func newServe() *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use: "serve [--settings FILE.toml]", Short: "Run the daemon of an entry host on the users' platform", Args: exactly(0),
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			set, err := platform.LoadSettings(path)
+			if err != nil {
+				return err
+			}
+			return runServe(set, cmd.OutOrStdout())
+		},
+	}
+	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsEnv), "settings file of the platform")
+	return cmd
+}
+
+// runServe runs the daemon until it is asked to end.
+func runServe(set platform.Settings, w io.Writer) error {
+	if set.MemoryMiB > 0 {
+		debug.SetMemoryLimit(int64(float64(set.MemoryMiB<<20) * memoryShare))
+	}
+	ctx, cancel := waitForSignal()
+	defer cancel()
+	out := logs.NewAsync(w, logLines)
+	defer out.Close()
+	h, err := gate.Start(gateConfig(set, out))
+	if err != nil {
+		return err
+	}
+	<-ctx.Done()
+	grace := time.Duration(set.GraceS*float64(time.Second)) - stopMargin
+	stop, cancelStop := context.WithTimeout(context.Background(), max(grace, stopMargin))
+	defer cancelStop()
+	return h.Stop(stop)
+}
+
+// gateConfig wires the adapter to the daemon.
+func gateConfig(set platform.Settings, out io.Writer) gate.Config {
+	client := platform.NewClient(platform.ClientConfig{Store: set.StoreAddr, Advice: set.AdviceAddr, Cloud: set.CloudAddr})
+	return gate.Config{
+		Host: set.Host, IP: set.IP, Az: set.Az, Listen: set.Frontend, Ready: set.Ready, ReadyPath: platform.ReadyPath,
+		PeerPort: set.PeerPort, MetricPort: set.MetricPort, Seeds: set.Seeds,
+		Store: client, Workers: client, Adviser: client,
+		Codec: gate.Codec{
+			Job: platform.ParseJob, JobID: platform.ParseJobID, Key: platform.KeyOf, State: platform.StateBody, Pending: platform.PendingBody,
+		},
+		OperatorTopic: platform.TopicOperator, WorkerTopic: platform.TopicWorkers,
+		JobTopic: platform.KeyedTopic(jobTopic), HostTopic: platform.KeyedTopic(hostTopic),
+		ParseSite: platform.ParseSite, ParseWorker: platform.ParseWorker, WorkerID: platform.WorkerID,
+		ParseOperator: func(key string) gate.OperatorRecord {
+			k := platform.ParseOperatorKey(key)
+			return gate.OperatorRecord{Config: k.Config, Az: k.Evacuate, Wave: k.Wave}
+		},
+		KeepMs: set.StatusS * 1000, Far: set.FarFactor, LeaseMax: set.HoldMaxMs,
+		Logger: logs.NewJSON(out, "info"),
+	}
+}
--- a/internal/tool/cmds/root.go
+++ b/internal/tool/cmds/root.go
@@ -87,7 +87,7 @@
 	p.StringVar(&f.key, "key", os.Getenv("LAGOONCOURSE_KEY"), "key in the form ID.SECRET")
 	p.BoolVar(&f.json, "json", false, "print JSON")
 	root.AddCommand(
-		newEntry(), newCheck(), newStandin(), newDemo(f), newMeasure(f),
+		newEntry(), newServe(), newCheck(), newStandin(), newDemo(f), newMeasure(f),
 		newPlan(f), newAllow(f), newKey(f), newAz(f), newTask(f), newDump(f),
 		newSubmit(f), newStatus(f), newWait(f), newCancel(f), newExplain(f), newList(f), newCall(f),
 	)
