--- a/internal/base/httpd/server.go
+++ b/internal/base/httpd/server.go
@@ -34,9 +34,10 @@
 	Name   string       // for the base library's statistics
 	Addr   string       // IP:port; port 0 picks a free one
 	Routes []rest.Route // patterns with :name parameters
-	// Fallback answers what no route matches; nil answers 404. A server whose
-	// paths are known only at run time has nothing but a fallback.
-	Fallback http.Handler
+	// Handler, if set, answers everything in place of Routes: the paths of some
+	// servers are known only at run time, and the base library's router has no
+	// pattern for them.
+	Handler http.Handler
 }
 
 // Server is an HTTP server with an open listener.
@@ -63,18 +64,18 @@
 	rc.Log.Mode = "console"
 	rc.Log.Level = "severe"
 	rc.Log.Stat = false
-	if cfg.Fallback == nil {
-		cfg.Fallback = http.HandlerFunc(notFound)
-	}
-	rs, err := rest.NewServer(rc, rest.WithNotFoundHandler(cfg.Fallback))
+	rs, err := rest.NewServer(rc, rest.WithNotFoundHandler(http.HandlerFunc(notFound)))
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
 	rs.AddRoutes(cfg.Routes)
-	handler, err := rest.NewServerless(rs)
+	serverless, err := rest.NewServerless(rs)
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
+	if cfg.Handler == nil {
+		cfg.Handler = http.HandlerFunc(serverless.Serve)
+	}
 	ln, err := net.Listen("tcp", cfg.Addr)
 	if err != nil {
 		return nil, merry.Wrap(err)
@@ -82,7 +83,7 @@
 	return &Server{
 		ln: ln,
 		http: &http.Server{
-			Handler:           http.HandlerFunc(handler.Serve),
+			Handler:           cfg.Handler,
 			ReadHeaderTimeout: readHeaderTimeout,
 			MaxHeaderBytes:    maxHeaderBytes,
 		},
--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -39,7 +39,18 @@
 	Step    string
 	Workers []string
 	CostMs  float64 // time that the answer takes
-	Urgent  int     // the queue's priority
+	Desk    string  // through which the question is asked
+}
+
+// Desks are the hosts through which advice can be asked. The service takes one
+// question at a time from each, so a question that finds no free desk waits
+// here, where the more urgent ones overtake it.
+type Desks interface {
+	// Idle reports whether any desk is free.
+	Idle() bool
+	// Take reserves a desk for a question of that cost. The desk is released
+	// when the question has been answered.
+	Take(costMs float64) (desk string, ok bool)
 }
 
 // usable reports whether the worker may be given work of the step at all.
@@ -143,7 +154,7 @@
 		ids = ids[:mostAsk]
 	}
 	cost := q.Advice.BaseMs + q.Advice.WorkerMs*float64(len(ids))
-	return Want{Part: pt.key(), Step: pt.name(), Workers: ids, CostMs: cost, Urgent: q.Priority}, true
+	return Want{Part: pt.key(), Step: pt.name(), Workers: ids, CostMs: cost}, true
 }
 
 // pick takes as many unknown workers as the need makes likely to suffice.
@@ -175,13 +186,6 @@
 	return ids
 }
 
-// Asked marks a question as under way.
-func (p *Planner) Asked(w Want) {
-	if pt := p.parts[w.Part]; pt != nil {
-		pt.advice.asked = true
-	}
-}
-
 // Advised takes the answer to a question. With ok false nothing was learned.
 // The tickets expire validMs after the instant issued, in steady ms.
 func (p *Planner) Advised(w Want, tickets map[string]string, ok bool, issued int64, now Instant) {
--- /dev/null
+++ b/internal/cell/sched/late.go
@@ -0,0 +1,62 @@
+package sched
+
+import "sort"
+
+// Late says why a part still waits: for each reason, how many workers.
+type Late struct {
+	Step      string
+	WaitMs    int64
+	Idle      int // tasks that wait
+	Unusable  int // gone, silent, draining, distrusted, of another service or without the label
+	Unasked   int // advice has not been asked about them
+	Denied    int // advice does not allow them
+	NoRoom    int
+	NoTicket  int
+	Slots     int // tasks that could start now
+	OverLimit bool
+	Asked     bool // a question for advice is under way
+}
+
+// Late explains up to most parts that have waited for longer than afterMs, the
+// oldest first.
+func (p *Planner) Late(afterMs int64, most int, now Instant) []Late {
+	var list []*part
+	for _, pt := range p.waiting {
+		if now.Ms-pt.readyMs > afterMs && p.timely(pt, now) {
+			list = append(list, pt)
+		}
+	}
+	sort.Slice(list, func(a, b int) bool { return list[a].readyMs < list[b].readyMs })
+	var out []Late
+	for _, pt := range list[:min(most, len(list))] {
+		out = append(out, p.explain(pt, now))
+	}
+	return out
+}
+
+func (p *Planner) explain(pt *part, now Instant) Late {
+	_, idle := count(pt.tasks())
+	e := Late{Step: pt.name(), WaitMs: now.Ms - pt.readyMs, Idle: idle, Asked: pt.advice.asked}
+	e.OverLimit = len(p.withinLimit(pt, make([]int, idle))) < idle
+	advised := p.view.Queues[pt.job.Spec.Queue].Advice != nil
+	for id, w := range p.workers {
+		g, asked := pt.advice.grants[id]
+		n := slots(w.free(), pt.spec().charge(), idle)
+		_, ticket := p.ticket(w, pt, now)
+		switch {
+		case !p.usable(w, pt, now):
+			e.Unusable++
+		case advised && !asked:
+			e.Unasked++
+		case advised && !g.allowed:
+			e.Denied++
+		case n == 0:
+			e.NoRoom++
+		case !ticket:
+			e.NoTicket++
+		default:
+			e.Slots += n
+		}
+	}
+	return e
+}
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -24,6 +24,8 @@
 type Plan struct {
 	Starts []Start
 	Wants  []Want
+
+	desks Desks
 }
 
 // mostPlanned bounds the starts of one plan, so that one append carries them.
@@ -31,8 +33,8 @@
 
 // Plan places waiting tasks, by priority and then by due time. Tasks that find
 // no room do not hold up others.
-func (p *Planner) Plan(now Instant) Plan {
-	var plan Plan
+func (p *Planner) Plan(desks Desks, now Instant) Plan {
+	plan := Plan{desks: desks}
 	order := make([]*part, 0, len(p.waiting))
 	for _, pt := range p.waiting {
 		if p.timely(pt, now) {
@@ -108,7 +110,15 @@
 }
 
 func (p *Planner) ask(pt *part, need int, plan *Plan, now Instant) {
-	if w, ok := p.want(pt, need, now); ok {
+	if !plan.desks.Idle() {
+		return
+	}
+	w, ok := p.want(pt, need, now)
+	if !ok {
+		return
+	}
+	if w.Desk, ok = plan.desks.Take(w.CostMs); ok {
+		pt.advice.asked = true
 		plan.Wants = append(plan.Wants, w)
 	}
 }
@@ -163,7 +173,7 @@
 func (p *Planner) sites(pt *part, n int, now Instant) []*Worker {
 	s := pt.spec()
 	var list []site
-	for _, w := range p.workers {
+	for _, w := range p.candidates(pt) {
 		if !p.usable(w, pt, now) {
 			continue
 		}
@@ -204,6 +214,24 @@
 	return out
 }
 
+// candidates returns the workers that could be allowed to run the part: those
+// that advice allows, or all where there is none.
+func (p *Planner) candidates(pt *part) []*Worker {
+	var list []*Worker
+	if p.view.Queues[pt.job.Spec.Queue].Advice == nil {
+		for _, w := range p.workers {
+			list = append(list, w)
+		}
+		return list
+	}
+	for id, g := range pt.advice.grants {
+		if w := p.workers[id]; w != nil && g.allowed {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // oneRack keeps the sites of the first rack that has room for n tasks, or all
 // of them when no rack has.
 func oneRack(list []site, n int) []site {
--- a/internal/node/gate/advise.go
+++ b/internal/node/gate/advise.go
@@ -8,76 +8,87 @@
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/frame"
 	"lagooncourse/internal/cell/sched"
+	"lagooncourse/internal/node/lead"
 	"lagooncourse/internal/plat/ports"
 )
 
-// desks spreads questions over the hosts, by when each will be free: the
-// service answers one question at a time from each host.
+// desks are the hosts through which advice is asked. The service answers one
+// question at a time from each host, so each has one question under way.
 type desks struct {
 	host *Host
 
-	mu   sync.Mutex
-	free map[string]time.Time // address -> when its questions will be answered
+	mu    sync.Mutex
+	busy  map[string]bool
+	after map[string]time.Time // a desk that has failed is left alone until then
 }
 
+var _ lead.Advisers = (*desks)(nil)
+
 const (
-	longAskMs    = 150 // questions that take longer stay off the hosts kept for short ones
-	shortDesks   = 3   // one of so many hosts takes only short questions
+	longAskMs    = 150 // questions that take longer leave some desks to short ones
+	shortDesks   = 3   // one of so many desks takes only short questions
 	adviseMargin = 300 * time.Millisecond
+	deskRest     = time.Second // after a question without an answer
 )
 
-// choose picks the host that will answer first and books the time.
-func (d *desks) choose(w sched.Want, addrs []string, now time.Time) string {
+// available returns the desks that may take a question, this host last.
+func (d *desks) available(long bool) []string {
+	addrs := d.host.adviseAddrs()
+	if long && len(addrs) >= shortDesks {
+		addrs = addrs[:len(addrs)-len(addrs)/shortDesks]
+	}
+	now := d.host.clock.Now()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.free == nil {
-		d.free = map[string]time.Time{}
+	var list []string
+	for _, a := range addrs {
+		if !d.busy[a] && now.After(d.after[a]) {
+			list = append(list, a)
+		}
 	}
-	if w.CostMs > longAskMs && len(addrs) >= shortDesks {
-		addrs = addrs[:len(addrs)-len(addrs)/shortDesks]
+	return list
+}
+
+// Idle reports whether any desk is free.
+func (d *desks) Idle() bool { return len(d.available(false)) > 0 }
+
+// Take reserves the last free desk: short questions stay with those that long
+// ones must not take.
+func (d *desks) Take(costMs float64) (string, bool) {
+	list := d.available(costMs > longAskMs)
+	if len(list) == 0 {
+		return "", false
 	}
-	best := ""
-	var at time.Time
-	for i := range addrs {
-		addr := addrs[len(addrs)-1-i]
-		t := d.free[addr]
-		if t.Before(now) {
-			t = now
-		}
-		if best == "" || t.Before(at) {
-			best, at = addr, t
-		}
+	desk := list[len(list)-1]
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.busy[desk] = true
+	return desk, true
+}
+
+// release frees a desk.
+func (d *desks) release(desk string, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.busy, desk)
+	if !ok {
+		d.after[desk] = d.host.clock.Now().Add(deskRest)
 	}
-	d.free[best] = at.Add(time.Duration(w.CostMs * float64(time.Millisecond)))
-	return best
 }
 
-// Advise asks through one of the hosts.
+// Advise asks through the desk that the question has taken.
 func (d *desks) Advise(ctx context.Context, w sched.Want) (a ports.Advice, age time.Duration, err error) {
+	defer func() { d.release(w.Desk, err == nil) }()
 	h := d.host
-	addr := d.choose(w, h.adviseAddrs(), h.clock.Now())
-	msg := adviseMsg{Step: w.Step, Workers: w.Workers, CostMs: w.CostMs}
-	if addr == h.addr {
+	msg := adviseMsg{Step: w.Step, Workers: w.Workers}
+	if w.Desk == h.addr {
 		b, err := h.serveAdvise(ctx, msg)
 		return b.Advice, 0, err
 	}
 	sent := h.clock.Now()
-	b, err := frame.Call(ctx, h.pool, addr, adviseMethod, msg)
-	if err != nil {
-		d.penalise(addr, h.clock.Now())
-		return a, 0, err
-	}
+	b, err := frame.Call(ctx, h.pool, w.Desk, adviseMethod, msg)
 	took := h.clock.Now().Sub(sent) - time.Duration(w.CostMs)*time.Millisecond
-	return b.Advice, min(max(took, 0), adviseMargin), nil
-}
-
-// penalty keeps a host that did not answer from getting the next questions.
-const penalty = time.Second
-
-func (d *desks) penalise(addr string, now time.Time) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.free[addr] = now.Add(penalty)
+	return b.Advice, min(max(took, 0), adviseMargin), err
 }
 
 // serveAdvise asks the service from this host.
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -129,7 +129,7 @@
 	}
 	h.own.heard = h.started
 	h.store = &relayStore{direct: cfg.Store, host: h}
-	h.desks = &desks{host: h}
+	h.desks = &desks{host: h, busy: map[string]bool{}, after: map[string]time.Time{}}
 	h.metrics = newMetrics(h.reg)
 	h.leadMet = lead.NewMetrics(h.reg)
 	if err := h.listen(); err != nil {
@@ -161,7 +161,7 @@
 	if err := h.frames.Listen(); err != nil {
 		return err
 	}
-	h.front, err = httpd.Listen(httpd.Config{Name: "gate", Addr: h.cfg.Listen, Fallback: http.HandlerFunc(h.serveFront)})
+	h.front, err = httpd.Listen(httpd.Config{Name: "gate", Addr: h.cfg.Listen, Handler: http.HandlerFunc(h.serveFront)})
 	if err != nil {
 		return err
 	}
@@ -214,6 +214,16 @@
 	return !h.leaving && (h.lead != nil || h.own.addr != "" && h.clock.Now().Sub(h.own.heard) < readyAge)
 }
 
+// Reload takes note of new settings. Addresses and roles of a running process
+// do not change; what may change is how long ended jobs are kept.
+func (h *Host) Reload(cfg Config) {
+	if cfg.Listen != h.cfg.Listen || cfg.PeerPort != h.cfg.PeerPort {
+		h.log.Info("settings not taken up", "reason", "listen addresses change only with a restart", "listen", cfg.Listen, "peerPort", cfg.PeerPort)
+		return
+	}
+	h.log.Info("settings reloaded")
+}
+
 // Stop ends the host gracefully: it stops being ready, hands the jobs over,
 // finishes what is in flight and closes.
 func (h *Host) Stop(ctx context.Context) (err error) {
--- a/internal/node/gate/wire.go
+++ b/internal/node/gate/wire.go
@@ -58,7 +58,6 @@
 type adviseMsg struct {
 	Step    string
 	Workers []string
-	CostMs  float64
 }
 
 type adviseAnswer struct {
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -34,11 +34,11 @@
 // Writer names the sequence of appends to the jobs' topic.
 const Writer = "owner"
 
-// Advisers asks for advice through one of several hosts, since the service
-// takes one question at a time from each.
+// Advisers asks for advice through several hosts.
 type Advisers interface {
-	// Advise chooses a host by what the question costs. The answer's age is
-	// the time since the service gave it.
+	sched.Desks
+	// Advise asks through the desk that the question has taken, and releases
+	// it. The answer's age is the time since the service gave it.
 	Advise(ctx context.Context, w sched.Want) (ports.Advice, time.Duration, error)
 }
 
@@ -98,6 +98,7 @@
 	stuckFrom time.Time     // since when an append has been without an answer
 	confirmed time.Time     // departure of the last append that was stored
 	view      sched.View
+	explained time.Time // when waiting parts were explained last
 }
 
 type workerClock struct {
--- a/internal/node/lead/write.go
+++ b/internal/node/lead/write.go
@@ -88,10 +88,8 @@
 	for _, id := range l.plan.Tick(now) {
 		l.log.Info("worker lost", "worker", id)
 	}
-	w.plan = l.plan.Plan(now)
-	for _, want := range w.plan.Wants {
-		l.plan.Asked(want)
-	}
+	w.plan = l.plan.Plan(l.cfg.Advisers, now)
+	l.explainLate(now)
 	w.batch, err = l.plan.TakeDirty(now)
 	if err == nil && w.batch.Empty() && l.cfg.Clock.Now().Sub(l.confirmed) > idleEvery {
 		err = l.addSign(w.batch)
@@ -99,6 +97,27 @@
 	return w, err
 }
 
+// Bounds of the lines about parts that have waited for long.
+const (
+	lateAfterMs  = 3_000
+	explainEvery = 2 * time.Second
+	mostExplain  = 10
+)
+
+// explainLate writes why parts that have waited for long still wait. The
+// caller holds the lock.
+func (l *Lead) explainLate(now sched.Instant) {
+	if t := l.cfg.Clock.Now(); t.Sub(l.explained) < explainEvery {
+		return
+	} else {
+		l.explained = t
+	}
+	for _, e := range l.plan.Late(lateAfterMs, mostExplain, now) {
+		l.log.Info("still waiting", "step", e.Step, "waitMs", e.WaitMs, "idle", e.Idle, "unusable", e.Unusable, "unasked", e.Unasked,
+			"denied", e.Denied, "noRoom", e.NoRoom, "noTicket", e.NoTicket, "slots", e.Slots, "overLimit", e.OverLimit, "asked", e.Asked)
+	}
+}
+
 // addSign adds a record that shows that the owner lives.
 func (l *Lead) addSign(b *sched.Batch) error {
 	key, value, err := sched.ClaimRecord(l.cfg.Claim)
@@ -214,16 +233,18 @@
 func (l *Lead) ask(want sched.Want) {
 	ctx, cancel := context.WithTimeout(l.ctx, adviceTimeout+time.Duration(2*want.CostMs)*time.Millisecond)
 	defer cancel()
+	sent := l.cfg.Clock.Now()
 	a, age, err := l.cfg.Advisers.Advise(ctx, want)
 	now := l.now()
 	l.mu.Lock()
 	l.plan.Advised(want, a.Tickets, err == nil, now.Ms-age.Milliseconds(), now)
 	l.mu.Unlock()
 	l.cfg.Metrics.advice(err == nil)
-	l.log.Info("advice", "step", want.Step, "asked", len(want.Workers), "allowed", len(a.Tickets), "ok", err == nil)
+	l.log.Info("advice", "step", want.Step, "asked", len(want.Workers), "allowed", len(a.Tickets), "desk", want.Desk,
+		"costMs", int(want.CostMs), "tookMs", l.cfg.Clock.Now().Sub(sent).Milliseconds(), "err", errText(err))
 	l.wake()
 }
 
-// adviceTimeout is added to twice what the answer should take, for questions
-// that wait before it.
+// adviceTimeout is added to twice what the answer should take, for a question
+// of an earlier owner that is still being answered at the desk.
 const adviceTimeout = time.Second
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -21,7 +23,7 @@
 )
 
 const (
-	memoryShare = 0.7  // of the machine's memory, for the Go heap
+	memoryShare = 0.7 // of the machine's memory, for the Go heap
 	stopMargin  = 1500 * time.Millisecond
 	logLines    = 8192 // lines that wait for a slow reader of the log
 )
@@ -35,7 +37,7 @@
 			if err != nil {
 				return err
 			}
-			return runServe(set, cmd.OutOrStdout())
+			return runServe(path, set, cmd.OutOrStdout())
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsEnv), "settings file of the platform")
@@ -43,7 +45,7 @@
 }
 
 // runServe runs the daemon until it is asked to end.
-func runServe(set platform.Settings, w io.Writer) error {
+func runServe(path string, set platform.Settings, w io.Writer) error {
 	if set.MemoryMiB > 0 {
 		debug.SetMemoryLimit(int64(float64(set.MemoryMiB<<20) * memoryShare))
 	}
@@ -55,13 +57,32 @@
 	if err != nil {
 		return err
 	}
-	<-ctx.Done()
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+		case <-reload:
+			reloadSettings(h, path, out)
+		}
+	}
 	grace := time.Duration(set.GraceS*float64(time.Second)) - stopMargin
 	stop, cancelStop := context.WithTimeout(context.Background(), max(grace, stopMargin))
 	defer cancelStop()
 	return h.Stop(stop)
 }
 
+// reloadSettings reads the settings file again. A file that is not valid leaves
+// the settings in force as they are.
+func reloadSettings(h *gate.Host, path string, out io.Writer) {
+	set, err := platform.LoadSettings(path)
+	if err != nil {
+		logs.NewJSON(out, "info").Error(err, "settings not taken up")
+		return
+	}
+	h.Reload(gateConfig(set, out))
+}
+
 // gateConfig wires the adapter to the daemon.
 func gateConfig(set platform.Settings, out io.Writer) gate.Config {
 	client := platform.NewClient(platform.ClientConfig{Store: set.StoreAddr, Advice: set.AdviceAddr, Cloud: set.CloudAddr})
