Plan and ask for advice while an append is under way

Cause: planning ran once an append cycle; on a slow store (400 ms an append) only six questions for advice left in that time, so work waited 8 s.

--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -88,11 +88,6 @@
 	if q.Advice == nil || pt.advice.asked || now.Ms < pt.advice.askMs {
 		return Want{}, false
 	}
-	size := pt.spec().charge()
-	most := need
-	if pt.spec().Apart > 0 {
-		most = pt.spec().Apart
-	}
 	type candidate struct {
 		id    string
 		slots int
@@ -103,19 +98,17 @@
 		if !p.usable(w, pt, now) {
 			continue
 		}
-		n := slots(w.free(), size, most)
+		n := p.roomFor(pt, w, need)
 		g, asked := pt.advice.grants[id]
 		switch {
 		case !asked:
-			if slots(w.Capacity, size, 1) > 0 {
+			if slots(w.Capacity, pt.spec().charge(), 1) > 0 {
 				unknown = append(unknown, candidate{id, n})
 			}
 		case g.allowed && n > 0:
 			have += n
 			if _, ok := p.ticket(w, pt, now); !ok {
 				stale = append(stale, candidate{id, n})
-			} else {
-				have += 0
 			}
 		}
 	}
--- a/internal/cell/sched/late.go
+++ b/internal/cell/sched/late.go
@@ -41,7 +41,7 @@
 	advised := p.view.Queues[pt.job.Spec.Queue].Advice != nil
 	for id, w := range p.workers {
 		g, asked := pt.advice.grants[id]
-		n := slots(w.free(), pt.spec().charge(), idle)
+		n := p.roomFor(pt, w, idle)
 		_, ticket := p.ticket(w, pt, now)
 		switch {
 		case !p.usable(w, pt, now):
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -177,11 +177,7 @@
 		if !p.usable(w, pt, now) {
 			continue
 		}
-		most := n
-		if s.Apart > 0 {
-			most = min(most, s.Apart-p.onWorker(pt, w))
-		}
-		k := slots(w.free(), s.charge(), most)
+		k := p.roomFor(pt, w, n)
 		if k <= 0 {
 			continue
 		}
@@ -254,6 +250,16 @@
 	return list
 }
 
+// roomFor returns how many more tasks of the part the worker can take, up to
+// most.
+func (p *Planner) roomFor(pt *part, w *Worker, most int) int {
+	s := pt.spec()
+	if s.Apart > 0 {
+		most = min(most, s.Apart-p.onWorker(pt, w))
+	}
+	return max(slots(w.free(), s.charge(), most), 0)
+}
+
 // onWorker counts the part's tasks that are booked on the worker.
 func (p *Planner) onWorker(pt *part, w *Worker) int {
 	n := 0
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -443,6 +443,11 @@
 // maxBatchBytes bounds one append; the store takes 2 MB a call.
 const maxBatchBytes = 1 << 20
 
+// Dirty reports whether TakeDirty would return records or marks of ends.
+func (p *Planner) Dirty() bool {
+	return len(p.dirty) > 0 || len(p.fresh) > 0
+}
+
 // TakeDirty returns the records that are due.
 func (p *Planner) TakeDirty(now Instant) (*Batch, error) {
 	b := &Batch{verdicts: map[string]Verdict{}, seen: map[string]seenMark{}}
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -84,8 +84,9 @@
 	loops  sync.WaitGroup
 	done   chan struct{}
 	end    sync.Once
-	kick   chan struct{}
-	seq    int64 // of the next append; used by the write loop only
+	kick   chan struct{} // something has changed
+	write  chan struct{} // something is to be stored
+	seq    int64         // of the next append; used by the write loop only
 
 	mu        sync.Mutex
 	plan      *sched.Planner
@@ -94,6 +95,7 @@
 	clocks    map[string]workerClock
 	holds     map[string]context.CancelFunc
 	stops     map[sched.Stop]bool
+	starts    []sched.Start // placed, their intents not stored
 	stored    chan struct{} // closed and replaced after each append
 	stuckFrom time.Time     // since when an append has been without an answer
 	confirmed time.Time     // departure of the last append that was stored
@@ -120,7 +122,7 @@
 func Start(cfg Config) *Lead {
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Lead{
-		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), kick: make(chan struct{}, 1),
+		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), kick: make(chan struct{}, 1), write: make(chan struct{}, 1),
 		log:    cfg.Logger.WithName("lead").WithValues("epoch", cfg.Claim.Epoch),
 		clocks: map[string]workerClock{}, holds: map[string]context.CancelFunc{}, stops: map[sched.Stop]bool{},
 		stored: make(chan struct{}), confirmed: cfg.Clock.Now(), seq: 1, view: cfg.View,
@@ -130,7 +132,7 @@
 	}, l.now())
 	l.plan.SetView(cfg.View)
 	l.log.Info("took over", "jobs", len(cfg.State.Jobs), "offset", cfg.State.Next)
-	for _, loop := range []func(){l.writeLoop, l.registryLoop} {
+	for _, loop := range []func(){l.planLoop, l.writeLoop, l.registryLoop} {
 		l.loops.Add(1)
 		go func() {
 			defer l.loops.Done()
@@ -173,10 +175,13 @@
 	})
 }
 
-// wake makes the write loop look at what has changed.
-func (l *Lead) wake() {
+// wake makes the planner look at what has changed.
+func (l *Lead) wake() { signal(l.kick) }
+
+// signal marks ch, unless it is marked already.
+func signal(ch chan struct{}) {
 	select {
-	case l.kick <- struct{}{}:
+	case ch <- struct{}{}:
 	default:
 	}
 }
@@ -210,7 +215,7 @@
 	}
 	l.submits = append(l.submits, s)
 	l.mu.Unlock()
-	l.wake()
+	signal(l.write)
 	select {
 	case err := <-s.done:
 		return err
@@ -264,7 +269,7 @@
 	}
 	l.cancels = append(l.cancels, c)
 	l.mu.Unlock()
-	l.wake()
+	signal(l.write)
 	select {
 	case err := <-c.done:
 		return err
--- a/internal/node/lead/write.go
+++ b/internal/node/lead/write.go
@@ -10,9 +10,9 @@
 	"lagooncourse/internal/plat/ports"
 )
 
-// writeLoop runs a cycle after each event, and now and then without one.
-func (l *Lead) writeLoop() {
-	defer l.refuseAll()
+// planLoop lets the planner look at each change, whether or not an append is
+// under way: advice is asked and room is booked while the store is slow.
+func (l *Lead) planLoop() {
 	timer := time.NewTicker(planEvery)
 	defer timer.Stop()
 	for {
@@ -22,6 +22,49 @@
 		case <-l.kick:
 		case <-timer.C:
 		}
+		l.mu.Lock()
+		due := l.planLocked()
+		l.mu.Unlock()
+		if due {
+			signal(l.write)
+		}
+		sleep(l.ctx, planPause)
+	}
+}
+
+// planPause gathers events that arrive together.
+const planPause = 2 * time.Millisecond
+
+// planLocked places what fits and asks for advice. It reports whether there is
+// anything to store. The caller holds the lock.
+func (l *Lead) planLocked() bool {
+	now := l.now()
+	for _, id := range l.plan.Tick(now) {
+		l.log.Info("worker lost", "worker", id)
+	}
+	plan := l.plan.Plan(l.cfg.Advisers, now)
+	l.starts = append(l.starts, plan.Starts...)
+	for _, want := range plan.Wants {
+		go l.ask(want)
+	}
+	l.explainLate(now)
+	l.takeStops()
+	return l.plan.Dirty() || len(l.submits) > 0 || len(l.cancels) > 0
+}
+
+// writeLoop runs a cycle whenever there is something to store, and now and
+// then without.
+func (l *Lead) writeLoop() {
+	defer l.refuseAll()
+	timer := time.NewTicker(idleEvery)
+	defer timer.Stop()
+	for {
+		select {
+		case <-l.ctx.Done():
+			return
+		case <-l.write:
+		case <-timer.C:
+		}
 		if !l.cycle() {
 			return
 		}
@@ -32,15 +75,7 @@
 // false when the ownership has ended.
 func (l *Lead) cycle() bool {
 	w, err := l.prepare()
-	if err != nil {
-		l.log.Error(err, "records not encoded")
-		l.Stop("records not encoded")
-		return false
-	}
-	for _, want := range w.plan.Wants {
-		go l.ask(want)
-	}
-	for {
+	for err == nil {
 		if len(w.batch.Keys) > 0 && !l.store(w.batch) {
 			return false
 		}
@@ -53,10 +88,11 @@
 		}
 		w.batch, err = l.plan.TakeDirty(l.now())
 		l.mu.Unlock()
-		if err != nil {
-			l.Stop("records not encoded")
-			return false
-		}
+	}
+	if err != nil {
+		l.log.Error(err, "records not encoded")
+		l.Stop("records not encoded")
+		return false
 	}
 	l.answer(w)
 	return true
@@ -64,11 +100,11 @@
 
 // work is what one cycle does.
 type work struct {
-	plan    sched.Plan
 	batch   *sched.Batch
 	submits []*submission
 	cancels []*cancellation
-	send    []sched.Start
+	starts  []sched.Start // whose intents the batch holds
+	send    []sched.Start // those that may be sent
 	unknown map[*cancellation]bool
 }
 
@@ -85,11 +121,8 @@
 	for _, c := range w.cancels {
 		w.unknown[c] = !l.plan.Cancel(c.id, now)
 	}
-	for _, id := range l.plan.Tick(now) {
-		l.log.Info("worker lost", "worker", id)
-	}
-	w.plan = l.plan.Plan(l.cfg.Advisers, now)
-	l.explainLate(now)
+	l.planLocked()
+	w.starts, l.starts = l.starts, nil
 	w.batch, err = l.plan.TakeDirty(now)
 	if err == nil && w.batch.Empty() && l.cfg.Clock.Now().Sub(l.confirmed) > idleEvery {
 		err = l.addSign(w.batch)
@@ -127,7 +160,7 @@
 
 // finish releases the starts whose intents are stored. The caller holds the lock.
 func (l *Lead) finish(w *work) {
-	w.send = l.plan.Release(w.plan.Starts, l.now())
+	w.send = l.plan.Release(w.starts, l.now())
 	if len(w.batch.Keys) > 0 {
 		close(l.stored)
 		l.stored = make(chan struct{})
