Order waiting work by what it is still worth

Now: in time, late, beyond the team's weight, lost; run times are learned by queue and image; a plan looks at 160 parts.

--- /dev/null
+++ b/internal/cell/sched/order.go
@@ -0,0 +1,200 @@
+package sched
+
+import (
+	"container/heap"
+	"sort"
+)
+
+// rank says how much a part that waits is still worth. Work that can still be
+// in time goes first; what can only be late, or came beyond the share of its
+// team, yields to it, and what has lost all its worth comes last. Without this
+// order a backlog makes everything late, and stays.
+type rank uint8
+
+const (
+	rankInTime rank = iota // can end by its due time
+	rankLate               // can end while a late end is still worth something
+	rankExcess             // its team sends more than its weight
+	rankLost               // too late to be worth anything
+)
+
+// lateFactor is how many times its objective a job may take before its end is
+// worth nothing.
+const lateFactor = 3
+
+// standing is a part's place in the order.
+type standing struct {
+	pt       *part
+	rank     rank
+	priority int
+	due      int64
+}
+
+// before orders by rank, priority and due time.
+func (s *standing) before(o *standing) bool {
+	switch {
+	case s.rank != o.rank:
+		return s.rank < o.rank
+	case s.priority != o.priority:
+		return s.priority < o.priority
+	case s.due != o.due:
+		return s.due < o.due
+	}
+	return s.pt.key().less(o.pt.key())
+}
+
+func (k partKey) less(o partKey) bool {
+	switch {
+	case k.job != o.job:
+		return k.job < o.job
+	case k.occ != o.occ:
+		return k.occ < o.occ
+	}
+	return k.step < o.step
+}
+
+// standing computes a part's place.
+func (p *Planner) standing(pt *part, now Instant) standing {
+	q := p.view.Queues[pt.job.Spec.Queue]
+	s := standing{pt: pt, priority: q.Priority, due: pt.due}
+	end := now.Wall + p.remaining(pt)
+	late := pt.from + lateFactor*(pt.due-pt.from)
+	switch {
+	case end > late:
+		s.rank = rankLost
+	case pt.job.Spec.Excess:
+		s.rank = rankExcess
+	case end > pt.due:
+		s.rank = rankLate
+	}
+	return s
+}
+
+// remaining is how long the part's step and those after it will take.
+func (p *Planner) remaining(pt *part) int64 {
+	var ms int64
+	for i := pt.step; i < len(pt.job.Spec.Steps); i++ {
+		if i == pt.step || dependsOn(pt.job.Spec.Steps, i, pt.step) {
+			ms += p.runMs(pt.job.Spec.Queue, pt.job.Spec.Steps[i])
+		}
+	}
+	return ms
+}
+
+// dependsOn reports whether step i waits for step on, directly or not.
+func dependsOn(steps []Step, i, on int) bool {
+	for _, d := range steps[i].After {
+		if d == on || d > on && dependsOn(steps, d, on) {
+			return true
+		}
+	}
+	return false
+}
+
+// worst is a heap whose root goes last.
+type worst []standing
+
+func (h worst) Len() int           { return len(h) }
+func (h worst) Less(a, b int) bool { return h[b].before(&h[a]) }
+func (h worst) Swap(a, b int)      { h[a], h[b] = h[b], h[a] }
+func (h *worst) Push(x any)        { *h = append(*h, x.(standing)) }
+func (h *worst) Pop() any {
+	old := *h
+	x := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return x
+}
+
+// first returns the n parts that go first, in order.
+func (p *Planner) first(n int, now Instant) []*part {
+	h := make(worst, 0, min(n, len(p.waiting)))
+	for _, pt := range p.waiting {
+		if !p.timely(pt, now) {
+			continue
+		}
+		s := p.standing(pt, now)
+		if len(h) < n {
+			heap.Push(&h, s)
+			continue
+		}
+		if s.before(&h[0]) {
+			h[0] = s
+			heap.Fix(&h, 0)
+		}
+	}
+	sort.Slice(h, func(a, b int) bool { return h[a].before(&h[b]) })
+	list := make([]*part, len(h))
+	for i := range h {
+		list[i] = h[i].pt
+	}
+	return list
+}
+
+// runKey names tasks that behave alike.
+type runKey struct {
+	queue string
+	image string
+}
+
+// runTime is a running mean of run times.
+type runTime struct {
+	mean    float64 // ms
+	samples int
+}
+
+const (
+	runSamples = 3   // before them the declared estimate counts
+	runWeight  = 0.1 // of a new sample in the mean
+)
+
+// runMs estimates how long a task of the step runs: as others of its image
+// did, or as declared.
+func (p *Planner) runMs(queue string, s Step) int64 {
+	if r := p.runs[runKey{queue, s.Image}]; r != nil && r.samples >= runSamples {
+		return int64(r.mean)
+	}
+	return s.EstimateMs
+}
+
+// learnRun takes the run time of a task that was done.
+func (p *Planner) learnRun(queue string, s Step, ms int64) {
+	key := runKey{queue, s.Image}
+	r := p.runs[key]
+	if r == nil {
+		r = &runTime{}
+		p.runs[key] = r
+	}
+	r.samples++
+	weight := max(runWeight, 1/float64(r.samples))
+	r.mean += weight * (float64(ms) - r.mean)
+}
+
+// bucket counts how many jobs a team has sent against its weight, which is in
+// jobs a second.
+type bucket struct {
+	tokens float64
+	atMs   int64
+}
+
+// bucketSeconds is the size of a bucket, in seconds of the team's weight.
+const bucketSeconds = 2
+
+// excess takes a token and reports whether there was none.
+func (p *Planner) excess(team string, now Instant) bool {
+	weight := float64(p.view.Teams[team].Weight)
+	if weight <= 0 {
+		return false
+	}
+	b := p.buckets[team]
+	if b == nil {
+		b = &bucket{tokens: weight * bucketSeconds, atMs: now.Ms}
+		p.buckets[team] = b
+	}
+	b.tokens = min(b.tokens+weight*float64(now.Ms-b.atMs)/1000, weight*bucketSeconds)
+	b.atMs = now.Ms
+	if b.tokens < 1 {
+		return true
+	}
+	b.tokens--
+	return false
+}
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -31,18 +31,15 @@
 // mostPlanned bounds the starts of one plan, so that one append carries them.
 const mostPlanned = 200
 
-// Plan places waiting tasks, by priority and then by due time. Tasks that find
-// no room do not hold up others.
+// mostTried bounds the parts that one plan looks at, so that a long backlog
+// costs no more than a short one.
+const mostTried = 160
+
+// Plan places waiting tasks in the order of their rank. Tasks that find no
+// room do not hold up others.
 func (p *Planner) Plan(desks Desks, now Instant) Plan {
 	plan := Plan{desks: desks}
-	order := make([]*part, 0, len(p.waiting))
-	for _, pt := range p.waiting {
-		if p.timely(pt, now) {
-			order = append(order, pt)
-		}
-	}
-	sort.Slice(order, func(a, b int) bool { return p.before(order[a], order[b]) })
-	for _, pt := range order {
+	for _, pt := range p.first(mostTried, now) {
 		if len(plan.Starts) >= mostPlanned {
 			break
 		}
@@ -57,24 +54,6 @@
 	return spec.Times == 0 || now.Wall >= spec.FirstMs+int64(pt.occ)*spec.EveryMs
 }
 
-func (p *Planner) before(a, b *part) bool {
-	pa, pb := p.view.Queues[a.job.Spec.Queue].Priority, p.view.Queues[b.job.Spec.Queue].Priority
-	if pa != pb {
-		return pa < pb
-	}
-	if a.due != b.due {
-		return a.due < b.due
-	}
-	ka, kb := a.key(), b.key()
-	if ka.job != kb.job {
-		return ka.job < kb.job
-	}
-	if ka.occ != kb.occ {
-		return ka.occ < kb.occ
-	}
-	return ka.step < kb.step
-}
-
 // place starts what fits of a part, and asks for the advice that the rest needs.
 func (p *Planner) place(pt *part, plan *Plan, now Instant) {
 	var idle []int
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -73,7 +73,8 @@
 	job     *Job
 	occ     int
 	step    int
-	due     int64 // by which it should have ended, ms since 1970
+	from    int64 // since when its job has been owed, ms since 1970
+	due     int64 // by which the job should have ended, ms since 1970
 	readyMs int64 // steady instant from which it could run; 0 while it may not
 	advice  adviceState
 	failRun int // run of a gang whose failure has been counted
@@ -109,6 +110,8 @@
 	stops   []Stop
 	trust   *trust.Trust
 	good    map[string]*ratio // queue -> share of workers that advice allows
+	runs    map[runKey]*runTime
+	buckets map[string]*bucket // team -> jobs sent against its weight
 	ended   []endedJob
 }
 
@@ -125,6 +128,7 @@
 		cfg: cfg, state: cfg.State, workers: map[string]*Worker{}, used: map[string]jobs.Size{},
 		parts: map[partKey]*part{}, waiting: map[partKey]*part{}, dirty: map[string]bool{},
 		durable: map[string]Verdict{}, known: map[string]bool{}, trust: trust.New(trust.Config{}), good: map[string]*ratio{},
+		runs: map[runKey]*runTime{}, buckets: map[string]*bucket{},
 	}
 	for id, j := range cfg.State.Jobs {
 		p.known[id] = true
@@ -245,24 +249,30 @@
 	}
 	if p.waiting[key] == nil {
 		pt.readyMs = now.Ms
-		pt.due = p.dueOf(pt, now)
+		p.schedule(pt)
 		p.waiting[key] = pt
 	}
 }
 
-// dueOf estimates when the job should have ended.
-func (p *Planner) dueOf(pt *part, now Instant) int64 {
+// schedule computes by when the part's job should have ended: its longest chain
+// of steps times the queue's factor, and the queue's latency more.
+func (p *Planner) schedule(pt *part) {
 	spec := pt.job.Spec
-	from := spec.AtMs
+	pt.from = spec.AtMs
 	if spec.Times > 0 {
-		from = spec.FirstMs + int64(pt.occ)*spec.EveryMs
+		pt.from = spec.FirstMs + int64(pt.occ)*spec.EveryMs
 	}
 	q := p.view.Queues[spec.Queue]
+	ends := make([]int64, len(spec.Steps))
 	var chain int64
-	for _, s := range spec.Steps {
-		chain += s.EstimateMs
+	for i, s := range spec.Steps {
+		for _, d := range s.After {
+			ends[i] = max(ends[i], ends[d])
+		}
+		ends[i] += p.runMs(spec.Queue, s)
+		chain = max(chain, ends[i])
 	}
-	return from + int64(q.Slack*float64(chain)) + q.TargetMs
+	pt.due = pt.from + int64(q.Slack*float64(chain)) + q.TargetMs
 }
 
 // end gives a job its verdict and stops what still runs.
@@ -339,6 +349,7 @@
 	if p.state.Jobs[spec.ID] != nil {
 		return false
 	}
+	spec.Excess = p.excess(spec.Team, now)
 	j := newJob(spec)
 	p.state.Jobs[spec.ID] = j
 	p.fresh = append(p.fresh, spec)
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -296,13 +296,17 @@
 	if !ok {
 		return
 	}
-	if b := w.runs[ref]; b != nil && b.run <= f.Run {
+	b := w.runs[ref]
+	if b != nil && b.run <= f.Run {
 		p.release(w, ref)
 	}
 	j := p.state.Jobs[ref.Job]
 	if j == nil {
 		return
 	}
+	if b != nil && b.run == f.Run && b.phase == phaseUp && f.How == EndDone && j.task(ref) != nil {
+		p.learnRun(j.Spec.Queue, j.Spec.Steps[ref.Step], now.Ms-b.sinceMs)
+	}
 	t := j.task(ref)
 	if t == nil {
 		return
--- a/internal/cell/sched/types.go
+++ b/internal/cell/sched/types.go
@@ -37,6 +37,7 @@
 	EveryMs int64
 	Times   int   // occurrences; 0 for a job that runs once, at once
 	AtMs    int64 // when it was accepted, in ms since 1970
+	Excess  bool  // came beyond its team's weight
 }
 
 // TaskState is a task's durable state.
