Play the planner against a farm of workers; forget what a reborn worker had listed

Cause: a worker that ran nothing when it started again under its id kept the number up to which its ends had been seen. Its new ends were skipped and acknowledged: tasks ran twice or never ended, and their room stayed booked. Ruled out: a leak of bookings (Audit in each step), zombies' acknowledgements.

--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -89,7 +89,7 @@
 		p.workers[info.ID] = w
 	}
 	born := w.Born
-	if info.Born != 0 && born != 0 && info.Born > born && len(w.runs) > 0 {
+	if born != 0 && info.Born > born {
 		p.reborn(w, info.Born, now)
 	}
 	if info.Born < born {
--- a/internal/cell/sched/worker.go
+++ b/internal/cell/sched/worker.go
@@ -1,6 +1,10 @@
 package sched
 
-import "lagooncourse/internal/cell/jobs"
+import (
+	"github.com/ansel1/merry/v2"
+
+	"lagooncourse/internal/cell/jobs"
+)
 
 // phase says how far an order to start a run has come.
 type phase uint8
@@ -81,6 +85,31 @@
 	w.booked = w.booked.Plus(b.size)
 }
 
+// Audit compares the sums of what is booked with the bookings. A difference is
+// a fault of the planner.
+func (p *Planner) Audit() error {
+	used := map[string]jobs.Size{}
+	for _, w := range p.workers {
+		var sum jobs.Size
+		for ref, b := range w.runs {
+			sum = sum.Plus(b.size)
+			used[b.team] = used[b.team].Plus(b.size)
+			if b.ref != ref {
+				return merry.Errorf("booking of %s under %s", b.ref, ref)
+			}
+		}
+		if sum != w.booked {
+			return merry.Errorf("worker %s: %s booked, %s by its runs", w.ID, w.booked, sum)
+		}
+	}
+	for team, size := range p.used {
+		if size != used[team] {
+			return merry.Errorf("team %s: %s booked, %s by its runs", team, size, used[team])
+		}
+	}
+	return nil
+}
+
 // release frees the room of a run and reports whether it was booked.
 func (w *Worker) release(r Ref) *booking {
 	b := w.runs[r]
--- /dev/null
+++ b/internal/node/lead/main_test.go
@@ -0,0 +1,5 @@
+package lead
+
+import "flag"
+
+var playSeeds = flag.Int("play.seeds", 12, "seeds that TestPlay plays")
--- a/internal/node/lead/order.go
+++ b/internal/node/lead/order.go
@@ -62,7 +62,8 @@
 		})
 		cancel()
 		l.cfg.Metrics.start(l.cfg.Clock.Now().Sub(sent), err)
-		out = l.outcome(err, try, out)
+		out = outcomeOf(err, try)
+		l.checkFence(err)
 	}
 	l.mu.Lock()
 	l.plan.Started(s, out, l.now())
@@ -81,9 +82,17 @@
 	return err.Error()
 }
 
-// outcome reads the answer to a start. A refusal of a repeat says nothing about
+// checkFence ends the ownership when a worker has seen a later one.
+func (l *Lead) checkFence(err error) {
+	var refused *ports.RefusedError
+	if errors.As(err, &refused) && refused.Reason == ports.RefusedFence {
+		l.Stop("a worker has seen a later owner")
+	}
+}
+
+// outcomeOf reads the answer to a start. A refusal of a repeat says nothing about
 // the first order, which may still be under way.
-func (l *Lead) outcome(err error, try int, before sched.Outcome) sched.Outcome {
+func outcomeOf(err error, try int) sched.Outcome {
 	if err == nil {
 		return sched.StartUp
 	}
@@ -94,9 +103,6 @@
 		}
 		return sched.StartUnknown
 	}
-	if refused.Reason == ports.RefusedFence {
-		l.Stop("a worker has seen a later owner")
-	}
 	if try > 0 {
 		return sched.StartUnknown
 	}
@@ -156,7 +162,7 @@
 	case !errors.As(err, &refused) || refused.Reason == ports.RefusedBusy:
 		return false
 	case refused.Reason == ports.RefusedFence:
-		l.Stop("a worker has seen a later owner")
+		l.checkFence(err)
 		return true
 	case refused.Reason == ports.RefusedReborn:
 		return true
@@ -271,10 +277,7 @@
 		l.log.Info("worker does not answer", "worker", info.ID, "err", err.Error())
 	}
 	delete(l.clocks, info.ID)
-	var refused *ports.RefusedError
-	if errors.As(err, &refused) && refused.Reason == ports.RefusedFence {
-		l.Stop("a worker has seen a later owner")
-	}
+	l.checkFence(err)
 }
 
 // registryLoop follows the workers' entries.
--- /dev/null
+++ b/internal/node/lead/play_test.go
@@ -0,0 +1,338 @@
+package lead
+
+import (
+	"fmt"
+	"math/rand"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/cell/sched"
+	"lagooncourse/internal/plat/fakes"
+	"lagooncourse/internal/plat/ports"
+)
+
+// play drives planners against a farm of workers without processes, network or
+// real time. Owners are deposed at random; the one before goes on sending what
+// it had in hand, as a paused process would.
+type play struct {
+	t       *testing.T
+	rand    *rand.Rand
+	farm    *fakes.Farm
+	records [][2]string // the topic: key and value
+	owners  []*player   // the last one owns the topic
+	nowMs   int64
+	jobs    int
+	stored  []string // jobs whose acceptance is stored
+	mutate  mutation
+}
+
+// mutation takes one safeguard out, to show that the play notices.
+type mutation int
+
+const (
+	intact      mutation = iota
+	noFence              // a new owner uses the token of the one before
+	noLeaseWait          // what an unreachable worker runs counts as lost at once
+	seenEarly            // ends are acknowledged before they are stored
+	noBornCheck          // lists of a new incarnation are taken for those of the old
+)
+
+// player is one owner.
+type player struct {
+	epoch   int64
+	plan    *sched.Planner
+	clocks  map[string][2]int64 // worker -> its clock, and when it was read
+	starts  []sched.Start       // intents not stored
+	deposed int64               // since when another owns the topic; 0 if it does
+	confirm int64               // when a record was stored last
+}
+
+const (
+	playStepMs  = 20
+	playLeaseMs = 8_000
+)
+
+var playView = sched.View{
+	Queues: map[string]sched.Queue{
+		"urgent": {Name: "urgent", Service: "s", Priority: 0, Attempts: 50, Slack: 2, TargetMs: 250},
+		"batch":  {Name: "batch", Service: "s", Priority: 1, Attempts: 50, Slack: 3, TargetMs: 1000},
+	},
+	Teams: map[string]sched.Limit{"a": {Max: jobs.Size{CPU: 30_000}}, "b": {}},
+}
+
+func newPlay(t *testing.T, seed int64, mutate mutation) *play {
+	p := &play{
+		t: t, rand: rand.New(rand.NewSource(seed)), mutate: mutate,
+		farm: fakes.NewFarm(fakes.FarmConfig{
+			Workers: 8, Capacity: jobs.Size{CPU: 16_000, Mem: 32_000}, Rack: 4, Azs: []string{"x", "y"}, Service: "s", Seed: seed,
+		}),
+		nowMs: 1_000,
+	}
+	p.farm.SetLimit("a", jobs.Size{CPU: 30_000, Mem: jobs.Unlimited, Accel: jobs.Unlimited})
+	p.claim()
+	return p
+}
+
+func (p *play) now() sched.Instant { return sched.Instant{Ms: p.nowMs, Wall: p.nowMs} }
+
+// claim starts a new owner from the records.
+func (p *play) claim() {
+	state := sched.NewState()
+	for _, r := range p.records {
+		assert.NilError(p.t, state.Apply(r[0], []byte(r[1])))
+	}
+	silence := int64(silenceMs)
+	if p.mutate == noLeaseWait {
+		silence = -20_000
+	}
+	o := &player{epoch: int64(len(p.owners) + 1), clocks: map[string][2]int64{}, confirm: p.nowMs}
+	if p.mutate == noFence {
+		o.epoch = 1
+	}
+	o.plan = sched.NewPlanner(sched.Config{State: state, SilenceMs: silence, LeaseMs: playLeaseMs, KeepMs: 1 << 40}, p.now())
+	o.plan.SetView(playView)
+	if n := len(p.owners); n > 0 {
+		p.owners[n-1].deposed = p.nowMs
+	}
+	p.owners = append(p.owners, o)
+}
+
+// submit accepts a random job.
+func (p *play) submit() {
+	p.jobs++
+	spec := sched.Spec{ID: fmt.Sprintf("%016x", p.jobs), Queue: "batch", Team: "b", AtMs: p.nowMs}
+	if p.rand.Intn(2) == 0 {
+		spec.Queue, spec.Team = "urgent", "a"
+	}
+	for i := range 1 + p.rand.Intn(2) {
+		s := sched.Step{
+			Count: 1 + p.rand.Intn(4), Size: jobs.Size{CPU: int64(1000 + p.rand.Intn(5000)), Mem: int64(p.rand.Intn(9000))},
+			EstimateMs: int64(200 + p.rand.Intn(3000)), Gang: p.rand.Intn(3) == 0,
+		}
+		if i > 0 {
+			s.After = []int{i - 1}
+		}
+		spec.Steps = append(spec.Steps, s)
+	}
+	p.farm.Know(spec)
+	p.owners[len(p.owners)-1].plan.Accept(spec, p.now())
+}
+
+// step moves the time on and lets every owner act that does not know better.
+func (p *play) step() {
+	p.nowMs += playStepMs
+	p.farm.Advance(p.nowMs)
+	for i, o := range p.owners {
+		current := i == len(p.owners)-1
+		if !current && p.nowMs-o.deposed > silenceMs {
+			continue
+		}
+		p.act(o, current)
+	}
+}
+
+// act is one round of an owner. Only the current one can store.
+func (p *play) act(o *player, current bool) {
+	for _, info := range p.farm.Entries() {
+		o.plan.SetWorker(info, p.now())
+	}
+	o.plan.Tick(p.now())
+	if current {
+		o.starts = append(o.starts, o.plan.Plan(freeDesks{}, p.now()).Starts...)
+		p.store(o)
+	}
+	for _, s := range o.plan.TakeStops() {
+		p.stop(o, s, 0)
+	}
+	p.holds(o)
+	assert.NilError(p.t, o.plan.Audit())
+}
+
+// store appends what is due and sends the starts whose intents it holds.
+func (p *play) store(o *player) {
+	b, err := o.plan.TakeDirty(p.now())
+	assert.NilError(p.t, err)
+	for i, key := range b.Keys {
+		p.records = append(p.records, [2]string{key, string(b.Values[i])})
+	}
+	o.confirm = p.nowMs
+	p.stored = append(p.stored, b.Accepted...)
+	o.plan.Stored(b)
+	send := o.plan.Release(o.starts, p.now())
+	o.starts = nil
+	for _, s := range send {
+		p.send(o, s)
+	}
+}
+
+func (o *player) leaseEnd(id string, nowMs int64) int64 {
+	c, ok := o.clocks[id]
+	if !ok || nowMs-o.confirm >= silenceMs {
+		return 0
+	}
+	return c[0] + nowMs - c[1] + playLeaseMs
+}
+
+func (p *play) send(o *player, s sched.Start) {
+	end := o.leaseEnd(s.Worker, p.nowMs)
+	if end == 0 {
+		o.plan.Started(s, sched.StartRefused, p.now())
+		return
+	}
+	o.plan.Renewing(s.Worker, p.now())
+	_, err := p.farm.StartAt(ports.StartOrder{
+		Peer: ports.Peer{ID: s.Worker}, Token: o.epoch, Task: s.Ref.String(), Run: s.Run, LeaseEnd: end,
+	}, p.nowMs)
+	o.plan.Started(s, outcomeOf(err, 0), p.now())
+}
+
+func (p *play) stop(o *player, s sched.Stop, tries int) {
+	err := p.farm.StopAt(ports.StopOrder{Peer: ports.Peer{ID: s.Worker}, Token: o.epoch, Task: s.Ref.String(), Run: s.Run}, p.nowMs)
+	if err == nil {
+		o.plan.StopDenied(s, p.now())
+		return
+	}
+	if tries < 20 {
+		p.stop(o, s, tries+1)
+	}
+}
+
+// holds takes the lists of some workers.
+func (p *play) holds(o *player) {
+	for _, info := range o.plan.Targets() {
+		if p.rand.Intn(4) > 0 {
+			continue
+		}
+		end := o.leaseEnd(info.ID, p.nowMs)
+		if end > 0 {
+			o.plan.Renewing(info.ID, p.now())
+		}
+		seen := o.plan.Seen(info.ID)
+		if p.mutate == seenEarly {
+			seen = o.plan.Applied(info.ID) + 1
+		}
+		h, err := p.farm.HoldAt(ports.HoldRequest{Peer: ports.Peer{ID: info.ID}, Token: o.epoch, LeaseEnd: end, Seen: seen}, p.nowMs)
+		if err != nil {
+			o.plan.Unanswered(info.ID, p.now())
+			delete(o.clocks, info.ID)
+			continue
+		}
+		born := h.Born
+		if p.mutate == noBornCheck {
+			born = 1
+		}
+		o.clocks[info.ID] = [2]int64{h.Clock, p.nowMs}
+		o.plan.Listed(info.ID, sched.Lists{SentMs: p.nowMs, Born: born, Running: h.Running, Finished: h.Finished}, p.now())
+	}
+}
+
+type freeDesks struct{}
+
+func (freeDesks) Idle() bool                  { return true }
+func (freeDesks) Take(float64) (string, bool) { return "d", true }
+
+// trouble changes what goes wrong.
+func (p *play) trouble() {
+	id := fmt.Sprintf("w%d", p.rand.Intn(8))
+	switch p.rand.Intn(7) {
+	case 0:
+		p.claim()
+	case 1:
+		p.farm.Cut(id, true)
+	case 2, 3:
+		p.farm.Cut(id, false)
+	case 4:
+		p.farm.Reboot(id, p.nowMs)
+	case 5:
+		p.farm.SetFaults(fakes.FarmFaults{Lost: 0.1, Late: 0.1, Fail: 0.05})
+	case 6:
+		p.farm.SetFaults(fakes.FarmFaults{})
+	}
+}
+
+// calm ends all trouble and runs until every job has ended.
+func (p *play) calm() (open int) {
+	for i := range 8 {
+		p.farm.Cut(fmt.Sprintf("w%d", i), false)
+	}
+	p.farm.SetFaults(fakes.FarmFaults{})
+	for range 120_000 / playStepMs {
+		p.step()
+		if p.open() == 0 && p.farm.Running() == 0 {
+			break
+		}
+	}
+	return p.open()
+}
+
+// open counts the jobs of which no end is shown.
+func (p *play) open() int {
+	n := 0
+	for _, id := range p.stored {
+		s, _ := p.owners[len(p.owners)-1].plan.Status(id)
+		if s != sched.StatusCompleted && s != sched.StatusFailed {
+			n++
+		}
+	}
+	return n
+}
+
+// run plays a minute of trouble.
+func (p *play) run() {
+	for range 60_000 / playStepMs {
+		if p.rand.Intn(8) == 0 && p.nowMs < 40_000 {
+			p.submit()
+		}
+		if p.rand.Intn(60) == 0 {
+			p.trouble()
+		}
+		p.step()
+	}
+}
+
+// TestPlay checks that no promise is broken and that every job ends, whatever
+// goes wrong in between. -play.seeds plays more.
+func TestPlay(t *testing.T) {
+	for seed := int64(1); seed <= int64(*playSeeds); seed++ {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			p := newPlay(t, seed, intact)
+			p.run()
+			open := p.calm()
+			assert.DeepEqual(t, p.farm.Broken(), []string(nil))
+			for _, late := range p.owners[len(p.owners)-1].plan.Late(1000, 5, p.now()) {
+				t.Logf("%+v", late)
+			}
+			assert.Equal(t, open, 0, "jobs still open of %d", len(p.stored))
+			assert.Assert(t, p.farm.Starts() > p.jobs/2, "only %d starts for %d jobs", p.farm.Starts(), p.jobs)
+		})
+	}
+}
+
+// TestPlayFindsMutations shows that the play notices when a safeguard is taken
+// out.
+func TestPlayFindsMutations(t *testing.T) {
+	for name, m := range map[string]mutation{
+		"no fence": noFence, "no wait for a lease": noLeaseWait, "acknowledged before stored": seenEarly, "incarnation not checked": noBornCheck,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := int64(1); seed <= 40; seed++ {
+				p := newPlay(t, seed, m)
+				p.run()
+				if open := p.calm(); open > 0 || len(p.farm.Broken()) > 0 {
+					t.Logf("found with seed %d: %d jobs open, broken %q", seed, open, first(p.farm.Broken()))
+					return
+				}
+			}
+			t.Fatal("not noticed with 40 seeds")
+		})
+	}
+}
+
+func first(list []string) string {
+	if len(list) == 0 {
+		return ""
+	}
+	return list[0]
+}
--- /dev/null
+++ b/internal/plat/fakes/store.go
@@ -0,0 +1,239 @@
+package fakes
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"time"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/plat/ports"
+)
+
+// Store stands in for the platform's log with keyed topics. It keeps epochs
+// and sequences of writers, forgets old records on request, and can be down,
+// lose answers, or turn single callers away.
+type Store struct {
+	mu     sync.Mutex
+	rand   *rand.Rand
+	topics map[string]*topic
+	faults StoreFaults
+	grown  chan struct{} // closed and replaced at each append
+	calls  int
+}
+
+// StoreFaults are the troubles in force. Zero means none.
+type StoreFaults struct {
+	Down   bool            // every call is refused
+	Away   map[string]bool // callers that are turned away
+	Lost   float64         // share of the appends that are done and not answered
+	Delay  time.Duration   // before each answer
+	Silent bool            // with Down or Away: no answer instead of a refusal
+}
+
+type topic struct {
+	records []ports.Record // from first on
+	first   int64
+	newest  map[string]ports.Record
+	writers map[string]*sequence
+}
+
+// sequence is what the store remembers of one writer.
+type sequence struct {
+	epoch  int64
+	next   int64
+	recent map[int64]int64 // sequence number -> offset of the last few appends
+}
+
+// keptAppends is how many appends of a writer can be repeated.
+const keptAppends = 5
+
+// NewStore returns an empty store.
+func NewStore(seed int64) *Store {
+	return &Store{rand: rand.New(rand.NewSource(seed)), topics: map[string]*topic{}, grown: make(chan struct{})}
+}
+
+// SetFaults replaces the troubles in force.
+func (s *Store) SetFaults(f StoreFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+}
+
+// Calls returns how many calls have come.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+// Forget drops the records of a topic before its end; the newest of each key
+// stays readable.
+func (s *Store) Forget(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	t.first += int64(len(t.records))
+	t.records = nil
+}
+
+// Put writes a record as the operators or a worker would.
+func (s *Store) Put(name, key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(s.topic(name), []ports.Record{{Key: key, Value: value}})
+}
+
+// For returns the store as one caller reaches it.
+func (s *Store) For(caller string) ports.Store { return &storeClient{store: s, caller: caller} }
+
+// topic returns a topic. The caller holds the lock.
+func (s *Store) topic(name string) *topic {
+	t := s.topics[name]
+	if t == nil {
+		t = &topic{newest: map[string]ports.Record{}, writers: map[string]*sequence{}}
+		s.topics[name] = t
+	}
+	return t
+}
+
+// add appends records. The caller holds the lock.
+func (s *Store) add(t *topic, records []ports.Record) int64 {
+	offset := t.first + int64(len(t.records))
+	for i, r := range records {
+		r.Offset = offset + int64(i)
+		t.records = append(t.records, r)
+		t.newest[r.Key] = r
+		if len(r.Value) == 0 {
+			delete(t.newest, r.Key)
+		}
+	}
+	close(s.grown)
+	s.grown = make(chan struct{})
+	return offset
+}
+
+type storeClient struct {
+	store  *Store
+	caller string
+}
+
+var _ ports.Store = (*storeClient)(nil)
+
+// enter applies the troubles to a call.
+func (c *storeClient) enter(ctx context.Context) error {
+	s := c.store
+	s.mu.Lock()
+	s.calls++
+	f := s.faults
+	s.mu.Unlock()
+	if f.Delay > 0 {
+		t := time.NewTimer(f.Delay)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return fault.New(fault.Timeout, fault.NotRun, "store is slow")
+		case <-t.C:
+		}
+	}
+	if !f.Down && !f.Away[c.caller] {
+		return nil
+	}
+	if f.Silent {
+		<-ctx.Done()
+		return fault.New(fault.Timeout, fault.NotRun, "store is silent")
+	}
+	return &ports.RefusedError{Reason: ports.RefusedBusy, Status: 503}
+}
+
+// Append adds records; see ports.Store.
+func (c *storeClient) Append(ctx context.Context, r ports.AppendRequest) (int64, error) {
+	if err := c.enter(ctx); err != nil {
+		return 0, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	offset, err := s.append(r)
+	if err == nil && s.rand.Float64() < s.faults.Lost {
+		return 0, fault.New(fault.Timeout, fault.Unknown, "the answer is lost")
+	}
+	return offset, err
+}
+
+func (s *Store) append(r ports.AppendRequest) (int64, error) {
+	t := s.topic(r.Topic)
+	if r.Writer == "" {
+		return s.add(t, r.Records), nil
+	}
+	w := t.writers[r.Writer]
+	if w == nil || r.Epoch > w.epoch {
+		w = &sequence{epoch: r.Epoch, next: r.Seq, recent: map[int64]int64{}}
+		t.writers[r.Writer] = w
+	}
+	if r.Epoch < w.epoch {
+		return 0, &ports.RefusedError{Reason: ports.RefusedFence, Status: 409}
+	}
+	if offset, ok := w.recent[r.Seq]; ok {
+		return offset, nil
+	}
+	if r.Seq != w.next {
+		return 0, &ports.RefusedError{Reason: ports.RefusedSequence, Status: 409}
+	}
+	offset := s.add(t, r.Records)
+	w.recent[r.Seq] = offset
+	delete(w.recent, r.Seq-keptAppends)
+	w.next++
+	return offset, nil
+}
+
+// Read returns records; see ports.Store.
+func (c *storeClient) Read(ctx context.Context, r ports.ReadRequest) (ports.Page, error) {
+	if err := c.enter(ctx); err != nil {
+		return ports.Page{}, err
+	}
+	s := c.store
+	deadline := time.NewTimer(r.Wait)
+	defer deadline.Stop()
+	for {
+		s.mu.Lock()
+		t := s.topic(r.Topic)
+		end, grown := t.first+int64(len(t.records)), s.grown
+		if r.From < t.first {
+			s.mu.Unlock()
+			return ports.Page{}, &ports.GoneError{First: t.first}
+		}
+		if r.From < end || r.Wait == 0 {
+			p := ports.Page{First: t.first, End: end}
+			if r.From < end {
+				p.Records = append(p.Records, t.records[r.From-t.first:]...)
+			}
+			s.mu.Unlock()
+			return p, nil
+		}
+		s.mu.Unlock()
+		select {
+		case <-grown:
+		case <-deadline.C:
+			r.Wait = 0
+		case <-ctx.Done():
+			return ports.Page{}, fault.New(fault.Timeout, fault.NotRun, "read ended")
+		}
+	}
+}
+
+// Newest returns the newest record of each key; see ports.Store.
+func (c *storeClient) Newest(ctx context.Context, name, _ string) (ports.Newest, error) {
+	if err := c.enter(ctx); err != nil {
+		return ports.Newest{}, err
+	}
+	s := c.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.topic(name)
+	n := ports.Newest{End: t.first + int64(len(t.records))}
+	for _, r := range t.newest {
+		n.Records = append(n.Records, r)
+	}
+	return n, nil
+}
