Let the strongest host own the jobs

Hosts tell each other their processor share; claims go by it, and a much weaker owner hands over. Ruled out: cost of planning (0.14 cores at most).

--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -141,8 +141,8 @@
 	p.loseAll(w, now, func(*booking) bool { return true })
 }
 
-// loseAll ends the bookings that match as lost.
-func (p *Planner) loseAll(w *Worker, now Instant, match func(*booking) bool) {
+// loseAll ends the bookings that match as lost, and reports whether any did.
+func (p *Planner) loseAll(w *Worker, now Instant, match func(*booking) bool) (any bool) {
 	for ref, b := range w.runs {
 		if !match(b) {
 			continue
@@ -150,7 +150,9 @@
 		p.release(w, ref)
 		p.requeue(ref, b.run, now)
 		p.breakGang(ref, now)
+		any = true
 	}
+	return any
 }
 
 // Renewing takes note that a call that renews the worker's lease is about to be
@@ -179,9 +181,8 @@
 		if w.contact || now.Ms < w.sureMs {
 			continue
 		}
-		if len(w.runs) > 0 {
+		if p.loseAll(w, now, func(b *booking) bool { return b.phase != phaseIntent }) {
 			lost = append(lost, id)
-			p.loseAll(w, now, func(b *booking) bool { return b.phase != phaseIntent })
 		}
 		if !w.present && len(w.runs) == 0 {
 			delete(p.workers, id)
--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sort"
 	"time"
 
 	"lagooncourse/internal/base/fault"
@@ -151,6 +152,7 @@
 		if h.mayClaim() {
 			h.tryClaim(ctx)
 		}
+		h.yield(ctx)
 		sleep(ctx, claimEvery)
 	}
 }
@@ -163,7 +165,7 @@
 		return false
 	}
 	now := h.clock.Now()
-	c := contest{self: h.addr, now: now, silent: now.Sub(h.own.heard), invited: h.invited, grows: now.Sub(h.replica.grew) < 2*replicaEvery+claimStagger}
+	c := contest{self: h.addr, power: h.cfg.Power, now: now, silent: now.Sub(h.own.heard), invited: h.invited, grows: now.Sub(h.replica.grew) < 2*replicaEvery+claimStagger}
 	if h.own.addr == "" || h.own.addr == h.addr {
 		c.silent += suspectAfter - firstPings // nobody to wait for
 	}
@@ -177,6 +179,28 @@
 	return c.shouldClaim()
 }
 
+// yieldAfter is how long an owner has to know a stronger host before it hands
+// over, so that hosts that start together settle first.
+const yieldAfter = 1500 * time.Millisecond
+
+// yield hands the jobs over to a host that is much stronger.
+func (h *Host) yield(ctx context.Context) {
+	h.mu.Lock()
+	now := h.clock.Now()
+	if h.lead == nil || h.leaving || now.Sub(h.since) < yieldAfter {
+		h.mu.Unlock()
+		return
+	}
+	var peers []peer
+	for _, p := range h.peers {
+		peers = append(peers, *p)
+	}
+	h.mu.Unlock()
+	if addr, ok := successor(h.cfg.Power, peers, now); ok {
+		h.transfer(ctx, []string{addr}, "a stronger host lives")
+	}
+}
+
 // tryClaim reads all records, claims, and starts to act as the owner.
 func (h *Host) tryClaim(ctx context.Context) {
 	began := h.clock.Now()
@@ -241,6 +265,7 @@
 		Clock: h.clock, Logger: h.cfg.Logger, Metrics: h.leadMet, KeepMs: h.cfg.KeepMs, Far: h.cfg.Far, LeaseMax: h.cfg.LeaseMax,
 	})
 	h.lead = l
+	h.since = h.clock.Now()
 	h.setOwner(c.Epoch, h.addr)
 	go h.announce()
 	go func() {
@@ -270,24 +295,42 @@
 	}
 }
 
-// handOver ends the ownership and asks a peer to claim it.
+// handOver takes this host off the roster and hands the jobs over.
 func (h *Host) handOver(ctx context.Context) {
+	_ = h.register(ctx, nil) // without the entry's removal peers find out by themselves
+	h.transfer(ctx, h.heirs(), "the process is asked to end")
+}
+
+// heirs returns the peers that could own the jobs, the most powerful first.
+func (h *Host) heirs() []string {
+	addrs := h.storePeers(len(h.peers))
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	sort.SliceStable(addrs, func(a, b int) bool {
+		pa, pb := h.peers[addrs[a]], h.peers[addrs[b]]
+		return pa != nil && pb != nil && pa.power > pb.power
+	})
+	return addrs
+}
+
+// transfer ends the ownership and asks the first of the hosts that answers to
+// claim it.
+func (h *Host) transfer(ctx context.Context, addrs []string, reason string) {
 	h.mu.Lock()
 	l := h.lead
 	h.mu.Unlock()
-	_ = h.register(ctx, nil) // without the entry's removal peers find out by themselves
 	if l == nil {
 		return
 	}
-	l.Stop("the process is asked to end")
+	l.Stop(reason)
 	select {
 	case <-l.Done():
 	case <-ctx.Done():
 		return
 	}
-	for _, addr := range h.storePeers(len(h.peers)) {
+	for _, addr := range addrs {
 		msg := h.self()
-		msg.Claim, msg.Leaving, msg.Owner, msg.OwnerAgeMs = true, true, "", time.Hour.Milliseconds()
+		msg.Claim, msg.Owner, msg.OwnerAgeMs = true, "", time.Hour.Milliseconds()
 		rctx, cancel := context.WithTimeout(ctx, pingTimeout)
 		_, err := frame.Call(rctx, h.pool, addr, pingMethod, msg)
 		cancel()
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -61,6 +61,7 @@
 	PeerPort   int // for frames, alike on all hosts
 	MetricPort int // 0 serves no metrics
 	Seeds      []string
+	Power      int64 // processor time that the process may use, in millicores; 0 if unknown
 
 	Store   ports.Store
 	Workers ports.Workers
@@ -108,6 +109,7 @@
 	peers   map[string]*peer
 	own     ownership
 	started time.Time
+	since   time.Time // when this host became the owner
 	leaving bool
 	invited bool
 	replica *replica
--- a/internal/node/gate/member.go
+++ b/internal/node/gate/member.go
@@ -143,7 +143,7 @@
 	defer h.mu.Unlock()
 	p := ping{
 		Addr: h.addr, Az: h.cfg.Az, Host: h.cfg.Host, Leaving: h.leaving, Epoch: h.own.epoch, Owner: h.own.addr,
-		OwnerAgeMs: h.clock.Now().Sub(h.own.heard).Milliseconds(), SiteNext: site, StoreOK: storeOK,
+		OwnerAgeMs: h.clock.Now().Sub(h.own.heard).Milliseconds(), SiteNext: site, StoreOK: storeOK, Power: h.cfg.Power,
 	}
 	if h.lead != nil {
 		p.OwnerAgeMs = 0
@@ -185,6 +185,7 @@
 		p = &peer{addr: a.Addr, az: a.Az}
 		h.peers[a.Addr] = p
 	}
+	p.power = a.Power
 	p.host, p.heard, p.leaving, p.epoch, p.owner, p.storeOK = a.Host, now, a.Leaving, a.Epoch, a.Owner, a.StoreOK
 	p.heardBy, p.site = time.Duration(a.OwnerAgeMs)*time.Millisecond, a.SiteNext
 	if a.Epoch > h.own.epoch && a.Owner != "" {
--- a/internal/node/gate/peers.go
+++ b/internal/node/gate/peers.go
@@ -12,6 +12,7 @@
 	host    string
 	heard   time.Time // when it answered last
 	leaving bool
+	power   int64 // millicores
 	epoch   int64
 	owner   string
 	heardBy time.Duration // age of its contact with the owner, when it answered
@@ -42,6 +43,7 @@
 // contest is what decides whether a host should claim the ownership.
 type contest struct {
 	self    string
+	power   int64 // millicores of this host
 	now     time.Time
 	silent  time.Duration // since the owner was heard
 	peers   []peer
@@ -50,7 +52,7 @@
 }
 
 // shouldClaim decides whether this host claims the ownership now. Hosts take
-// turns by address, so that usually one claims; the store decides between two.
+// turns by rankOf, so that usually one claims; the store decides between two.
 //
 // A host that hears no peer at all may itself be the one that is cut off. It
 // claims only if nobody has written to the topic for a while.
@@ -61,7 +63,7 @@
 	if c.silent < suspectAfter {
 		return false
 	}
-	live := []string{c.self}
+	live := []peer{{addr: c.self, power: c.power}}
 	known := 0
 	for _, p := range c.peers {
 		known++
@@ -72,13 +74,43 @@
 			return false
 		}
 		if !p.leaving {
-			live = append(live, p.addr)
+			live = append(live, p)
 		}
 	}
 	if known > 0 && len(live) == 1 {
 		return c.silent > aloneAfter && !c.grows
 	}
-	sort.Strings(live)
-	rank := sort.SearchStrings(live, c.self)
-	return c.silent >= suspectAfter+time.Duration(rank)*claimStagger
+	return c.silent >= suspectAfter+time.Duration(rankOf(c.self, live))*claimStagger
+}
+
+// rankOf returns a host's place among those that could own the jobs, the most
+// powerful first: a small host cannot carry the orders of a large fleet.
+func rankOf(self string, hosts []peer) int {
+	sort.Slice(hosts, func(a, b int) bool {
+		if hosts[a].power != hosts[b].power {
+			return hosts[a].power > hosts[b].power
+		}
+		return hosts[a].addr < hosts[b].addr
+	})
+	for i, p := range hosts {
+		if p.addr == self {
+			return i
+		}
+	}
+	return len(hosts)
+}
+
+// muchStronger is how many times as powerful a host must be for a weaker owner
+// to hand the jobs over to it.
+const muchStronger = 2
+
+// successor returns the host to which an owner should hand over, if any.
+func successor(power int64, peers []peer, now time.Time) (addr string, ok bool) {
+	var best peer
+	for _, p := range peers {
+		if now.Sub(p.heard) < livePeer && !p.leaving && p.storeOK && (p.power > best.power || p.power == best.power && p.addr < best.addr) {
+			best = p
+		}
+	}
+	return best.addr, best.power >= muchStronger*max(power, 1)
 }
--- a/internal/node/gate/wire.go
+++ b/internal/node/gate/wire.go
@@ -29,6 +29,7 @@
 	SiteNext   int64  // offset of the operators' topic up to which the sender has read
 	StoreOK    bool   // the store has answered the sender lately
 	Claim      bool   // asks the receiver to take over at once
+	Power      int64  // millicores of the sender
 }
 
 // callKind is what a forwarded call wants.
