--- a/internal/cell/sched/late.go
+++ b/internal/cell/sched/late.go
@@ -1,6 +1,9 @@
 package sched
 
-import "sort"
+import (
+	"fmt"
+	"sort"
+)
 
 // Late says why a part still waits: for each reason, how many workers.
 type Late struct {
@@ -60,3 +63,25 @@
 	}
 	return e
 }
+
+// Describe returns a job's progress and where its tasks are booked, for people.
+func (p *Planner) Describe(id string) string {
+	j := p.state.Jobs[id]
+	if j == nil {
+		return "no such job"
+	}
+	out := fmt.Sprintf("job %s verdict %d cancel %v", id, j.Progress.Verdict, j.Progress.Cancel)
+	for occ := range j.occurrences() {
+		for step := range j.Spec.Steps {
+			for i, t := range j.stepTasks(occ, step) {
+				ref := Ref{id, occ, step, i}
+				out += fmt.Sprintf("\n%s state %d run %d fails %d worker %q", ref, t.State, t.Run, t.Fails, t.Worker)
+				if w := p.workers[t.Worker]; w != nil && w.runs[ref] != nil {
+					b := w.runs[ref]
+					out += fmt.Sprintf(" booked run %d phase %d stopping %v", b.run, b.phase, b.stopping)
+				}
+			}
+		}
+	}
+	return out
+}
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -1,6 +1,10 @@
 package sched
 
-import "lagooncourse/internal/cell/trust"
+import (
+	"sort"
+
+	"lagooncourse/internal/cell/trust"
+)
 
 // Outcome is what came of an order to start a run.
 type Outcome uint8
@@ -115,6 +119,7 @@
 			list = append(list, w.WorkerInfo)
 		}
 	}
+	sort.Slice(list, func(a, b int) bool { return list[a].ID < list[b].ID })
 	return list
 }
 
@@ -221,6 +226,9 @@
 		}
 		p.loseAll(w, now, func(b *booking) bool { return b.phase == phaseAdopted && p.bornOf(b) != 0 && p.bornOf(b) != l.Born })
 	}
+	if !w.listed {
+		w.sureMs = now.Ms + p.leaseBound() // fenced: an earlier owner renews no more
+	}
 	w.listed, w.contact = true, true
 	for _, f := range l.Finished {
 		if f.N <= w.seen {
--- /dev/null
+++ b/internal/cell/sched/rules_test.go
@@ -0,0 +1,280 @@
+package sched
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strconv"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/cell/jobs"
+)
+
+// script plays one file of testdata: a line is a command, "->" begins what it
+// has to print. Instants are in milliseconds.
+type script struct {
+	t       *testing.T
+	p       *Planner
+	now     Instant
+	starts  []Start
+	view    View
+	wants   []Want
+	desks   int // free ones
+	records [][2]string
+}
+
+func TestScripts(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	assert.NilError(t, err)
+	assert.Assert(t, len(files) > 0)
+	for _, name := range files {
+		t.Run(filepath.Base(name), func(t *testing.T) { runScript(t, name) })
+	}
+}
+
+func runScript(t *testing.T, name string) {
+	f, err := os.Open(name)
+	assert.NilError(t, err)
+	defer f.Close()
+	s := &script{t: t, now: Instant{Ms: 100_000, Wall: 100_000}, desks: 8}
+	s.view = View{Queues: map[string]Queue{}, Teams: map[string]Limit{}, Closed: map[string]bool{}}
+	s.open()
+	in := bufio.NewScanner(f)
+	for n := 1; in.Scan(); n++ {
+		line, _, _ := strings.Cut(in.Text(), "#")
+		line = strings.TrimSpace(line)
+		if line == "" {
+			continue
+		}
+		command, want, checked := strings.Cut(line, "->")
+		got := s.do(strings.Fields(command))
+		if checked {
+			assert.Equal(t, got, strings.TrimSpace(want), "%s:%d: %s", name, n, command)
+		}
+		assert.NilError(t, s.p.Audit(), "%s:%d", name, n)
+	}
+}
+
+// Idle and Take make the script its planner's desks.
+func (s *script) Idle() bool { return s.desks > 0 }
+
+func (s *script) Take(float64) (string, bool) {
+	s.desks--
+	return "d", s.desks >= 0
+}
+
+// open starts an owner from the records.
+func (s *script) open() {
+	state := NewState()
+	for _, r := range s.records {
+		assert.NilError(s.t, state.Apply(r[0], []byte(r[1])))
+	}
+	s.p = NewPlanner(Config{State: state, SilenceMs: 6_000, LeaseMs: 8_000, KeepMs: 60_000}, s.now)
+	s.p.SetView(s.view)
+	s.starts, s.wants = nil, nil
+}
+
+// args turns key=value fields into a map.
+func args(fields []string) map[string]string {
+	m := map[string]string{}
+	for _, f := range fields {
+		k, v, _ := strings.Cut(f, "=")
+		m[k] = v
+	}
+	return m
+}
+
+func num(v string) int64 {
+	n, _ := strconv.ParseInt(v, 10, 64)
+	return n
+}
+
+// do runs one command and returns what it prints.
+func (s *script) do(f []string) string {
+	a := args(f[1:])
+	switch f[0] {
+	case "queue":
+		q := Queue{Name: f[1], Service: "s", Priority: int(num(a["prio"])), Attempts: int(num(a["attempts"])), Slack: 2, TargetMs: 250}
+		if a["advice"] != "" {
+			q.Advice = &AdviceCost{BaseMs: float64(num(a["advice"])), WorkerMs: 1, ValidMs: 2_000}
+		}
+		s.view.Queues[f[1]] = q
+		s.p.SetView(s.view)
+	case "team":
+		s.view.Teams[f[1]] = Limit{Max: jobs.Size{CPU: num(a["cpu"])}, Weight: num(a["weight"])}
+		s.p.SetView(s.view)
+	case "close":
+		s.view.Closed[f[1]] = true
+	case "worker":
+		s.worker(f[1], a)
+	case "job":
+		s.job(f[1], a)
+	case "wait":
+		s.now.Ms += num(f[1])
+		s.now.Wall += num(f[1])
+	case "plan":
+		return s.plan()
+	case "store":
+		return s.store()
+	case "owner":
+		s.open()
+	case "allow":
+		return s.allow(f[1], f[2:])
+	default:
+		return s.report(f, a)
+	}
+	return ""
+}
+
+func (s *script) worker(id string, a map[string]string) {
+	info := WorkerInfo{
+		ID: id, Addr: id, Service: "s", Az: a["az"], Rack: a["rack"], Labels: []string{a["label"], a["rack"]},
+		Capacity: jobs.Size{CPU: num(a["cpu"]), Mem: 1 << 30, Accel: 8}, Born: max(num(a["born"]), 1), Draining: a["draining"] != "",
+	}
+	s.p.SetWorker(info, s.now)
+	if a["silent"] == "" {
+		s.p.Listed(id, Lists{SentMs: s.now.Ms, Born: info.Born}, s.now)
+	}
+}
+
+func (s *script) job(id string, a map[string]string) {
+	spec := Spec{ID: id, Queue: a["queue"], Team: a["team"], AtMs: s.now.Wall}
+	steps := max(num(a["steps"]), 1)
+	for i := range steps {
+		st := Step{
+			Count: int(max(num(a["count"]), 1)), Size: jobs.Size{CPU: num(a["cpu"])}, EstimateMs: max(num(a["ms"]), 1), Gang: a["gang"] != "",
+			Apart: int(num(a["apart"])), Needs: a["needs"], Near: a["near"], Lasts: a["lasts"] != "", SameRack: a["samerack"] != "",
+		}
+		if i > 0 {
+			st.After = []int{int(i - 1)}
+		}
+		spec.Steps = append(spec.Steps, st)
+	}
+	if a["times"] != "" {
+		spec.Times, spec.FirstMs, spec.EveryMs = int(num(a["times"])), s.now.Wall+num(a["first"]), num(a["every"])
+	}
+	s.p.Accept(spec, s.now)
+}
+
+// plan prints the starts and questions of a plan.
+func (s *script) plan() string {
+	s.p.Tick(s.now)
+	plan := s.p.Plan(s, s.now)
+	s.starts = append(s.starts, plan.Starts...)
+	s.wants = append(s.wants, plan.Wants...)
+	var out []string
+	for _, st := range plan.Starts {
+		out = append(out, fmt.Sprintf("%s/%d@%s", st.Ref, st.Run, st.Worker))
+	}
+	sort.Strings(out)
+	for _, w := range plan.Wants {
+		sort.Strings(w.Workers)
+		out = append(out, fmt.Sprintf("ask %s %s", w.Step, strings.Join(w.Workers, ",")))
+	}
+	return strings.Join(out, " ")
+}
+
+// store appends what is due and prints the starts that may be sent.
+func (s *script) store() string {
+	b, err := s.p.TakeDirty(s.now)
+	assert.NilError(s.t, err)
+	for i, k := range b.Keys {
+		s.records = append(s.records, [2]string{k, string(b.Values[i])})
+	}
+	s.p.Stored(b)
+	send := s.p.Release(s.starts, s.now)
+	s.starts = send
+	var out []string
+	for _, st := range send {
+		out = append(out, fmt.Sprintf("%s/%d@%s", st.Ref, st.Run, st.Worker))
+	}
+	sort.Strings(out)
+	return strings.Join(out, " ")
+}
+
+// allow answers the oldest question with the workers that are allowed.
+func (s *script) allow(step string, ids []string) string {
+	for i, w := range s.wants {
+		if w.Step != step {
+			continue
+		}
+		s.wants = append(s.wants[:i], s.wants[i+1:]...)
+		s.desks++
+		tickets := map[string]string{}
+		for _, id := range ids {
+			tickets[id] = "t"
+		}
+		s.p.Advised(w, tickets, true, s.now.Ms, s.now)
+		return ""
+	}
+	return "nobody asked"
+}
+
+// report takes what workers say.
+func (s *script) report(f []string, a map[string]string) string {
+	switch f[0] {
+	case "up", "refused", "unknown", "noroom":
+		out := map[string]Outcome{"up": StartUp, "refused": StartRefused, "unknown": StartUnknown, "noroom": StartNoRoom}[f[0]]
+		for _, st := range s.starts {
+			if f[1] == "all" || f[1] == st.Ref.String() {
+				s.p.Started(st, out, s.now)
+			}
+		}
+	case "denied":
+		ref, _ := ParseRef(f[2])
+		s.p.StopDenied(Stop{Worker: f[1], Ref: ref, Run: int(num(f[3]))}, s.now)
+	case "silent":
+		s.p.Unanswered(f[1], s.now)
+	case "renew":
+		s.p.Renewing(f[1], s.now)
+	case "list":
+		s.list(f[1], f[2:])
+	case "cancel":
+		return fmt.Sprint(s.p.Cancel(f[1], s.now))
+	case "stops":
+		var out []string
+		for _, st := range s.p.TakeStops() {
+			out = append(out, fmt.Sprintf("%s/%d@%s", st.Ref, st.Run, st.Worker))
+		}
+		sort.Strings(out)
+		return strings.Join(out, " ")
+	case "status":
+		st, ok := s.p.Status(f[1])
+		if !ok {
+			return "unknown"
+		}
+		return string(st)
+	case "pending":
+		return fmt.Sprint(s.p.Pending(f[1]))
+	case "seen":
+		return fmt.Sprint(s.p.Seen(f[1]))
+	case "lost":
+		return strings.Join(s.p.Tick(s.now), " ")
+	default:
+		s.t.Fatalf("no command %q", f[0])
+	}
+	_ = a
+	return ""
+}
+
+// list takes a worker's lists: run:TASK:RUN and end:N:TASK:RUN:HOW, and born=N.
+func (s *script) list(id string, items []string) {
+	l := Lists{SentMs: s.now.Ms + 1, Born: 1}
+	for _, it := range items {
+		p := strings.Split(it, ":")
+		switch p[0] {
+		case "run":
+			l.Running = append(l.Running, Running{Task: p[1], Run: int(num(p[2]))})
+		case "end":
+			l.Finished = append(l.Finished, Finished{N: num(p[1]), Task: p[2], Run: int(num(p[3])), How: How(p[4])})
+		default:
+			l.Born = num(strings.TrimPrefix(it, "born="))
+		}
+	}
+	s.p.Listed(id, l, s.now)
+}
--- a/internal/node/lead/play_test.go
+++ b/internal/node/lead/play_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand"
+	"sort"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -24,6 +25,7 @@
 	owners  []*player   // the last one owns the topic
 	nowMs   int64
 	jobs    int
+	last    string   // a job that was found open
 	stored  []string // jobs whose acceptance is stored
 	mutate  mutation
 }
@@ -143,7 +145,9 @@
 		o.starts = append(o.starts, o.plan.Plan(freeDesks{}, p.now()).Starts...)
 		p.store(o)
 	}
-	for _, s := range o.plan.TakeStops() {
+	stops := o.plan.TakeStops()
+	sort.Slice(stops, func(a, b int) bool { return stops[a].Ref.String() < stops[b].Ref.String() })
+	for _, s := range stops {
 		p.stop(o, s, 0)
 	}
 	p.holds(o)
@@ -273,6 +277,7 @@
 	for _, id := range p.stored {
 		s, _ := p.owners[len(p.owners)-1].plan.Status(id)
 		if s != sched.StatusCompleted && s != sched.StatusFailed {
+			p.last = id
 			n++
 		}
 	}
@@ -304,6 +309,9 @@
 			for _, late := range p.owners[len(p.owners)-1].plan.Late(1000, 5, p.now()) {
 				t.Logf("%+v", late)
 			}
+			if open > 0 {
+				t.Log(p.owners[len(p.owners)-1].plan.Describe(p.last))
+			}
 			assert.Equal(t, open, 0, "jobs still open of %d", len(p.stored))
 			assert.Assert(t, p.farm.Starts() > p.jobs/2, "only %d starts for %d jobs", p.farm.Starts(), p.jobs)
 		})
--- a/internal/plat/fakes/farm.go
+++ b/internal/plat/fakes/farm.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand"
+	"slices"
 	"sort"
 	"sync"
 
@@ -19,6 +21,7 @@
 	mu      sync.Mutex
 	rand    *rand.Rand
 	workers map[string]*farmWorker
+	ids     []string // of the workers, in order
 	specs   map[string]sched.Spec
 	limits  map[string]jobs.Size
 	faults  FarmFaults
@@ -101,6 +104,7 @@
 			},
 			runs: map[string]*farmRun{}, floor: map[string]int{},
 		}
+		f.ids = append(f.ids, id)
 	}
 	return f
 }
@@ -151,7 +155,11 @@
 	w := f.workers[id]
 	w.info.Born++
 	w.bootMs, w.fence, w.lease, w.n, w.lapsed = nowMs, 0, 0, 0, 0
-	for task, r := range w.runs {
+	for _, task := range slices.Sorted(maps.Keys(w.runs)) {
+		r := w.runs[task]
+		if r == nil {
+			continue
+		}
 		delete(w.runs, task)
 		if r.gang != "" {
 			f.together(r.gang, sched.EndLost)
@@ -218,11 +226,16 @@
 	}
 	f.late = rest
 	gangs := f.gangs()
-	for _, w := range f.workers {
+	for _, id := range f.ids {
+		w := f.workers[id]
 		if w.clock(nowMs) >= w.lease {
 			w.lapsed = w.n
 		}
-		for task, r := range w.runs {
+		for _, task := range slices.Sorted(maps.Keys(w.runs)) {
+			r := w.runs[task]
+			if r == nil {
+				continue // it has ended with another member of its gang
+			}
 			from := r.startMs
 			if r.gang != "" {
 				g := gangs[r.gang]
@@ -269,9 +282,10 @@
 	if how != sched.EndDone {
 		how = sched.EndBroken
 	}
-	for _, w := range f.workers {
-		for task, r := range w.runs {
-			if r.gang == name {
+	for _, id := range f.ids {
+		w := f.workers[id]
+		for _, task := range slices.Sorted(maps.Keys(w.runs)) {
+			if r := w.runs[task]; r != nil && r.gang == name {
 				r.gang = ""
 				f.finish(w, task, r, how)
 			}
