--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -57,6 +57,7 @@
 	State       *State
 	SilenceMs   int64 // after a claim, how long an earlier owner may have renewed leases
 	LeaseMs     int64 // of a renewal
+	LeaseMaxMs  int64 // longest lease that a worker grants, whatever is asked for
 	KeepMs      int64 // how long an ended job is remembered
 	FarFactor   float64
 	StopAfterMs int64 // unanswered starts are revoked after this time
@@ -169,9 +170,10 @@
 }
 
 // leaseBound is how long after a renewal was sent its lease may last.
-func (p *Planner) leaseBound() int64 {
-	return p.cfg.LeaseMs + int64(float64(p.cfg.LeaseMs)*clockDrift) + leaseMarginMs
-}
+func (p *Planner) leaseBound() int64 { return bound(p.cfg.LeaseMs) }
+
+// bound is how long a lease of ms on a worker's clock may last on ours.
+func bound(ms int64) int64 { return ms + int64(float64(ms)*clockDrift) + leaseMarginMs }
 
 func (p *Planner) book(w *Worker, b *booking) {
 	w.book(b)
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -140,8 +140,11 @@
 	return 0
 }
 
-// reborn takes note of a new incarnation, which runs nothing of before.
+// reborn takes note of a new incarnation, which runs nothing of before. Its
+// clock has started anew, so a lease that was reckoned by the old clock may be
+// the longest that it grants.
 func (p *Planner) reborn(w *Worker, born int64, now Instant) {
+	w.sureMs = max(w.sureMs, now.Ms+bound(max(p.cfg.LeaseMaxMs, p.cfg.LeaseMs)))
 	w.Born, w.seen, w.stored, w.listed = born, 0, 0, false
 	p.loseAll(w, now, func(*booking) bool { return true })
 }
@@ -227,7 +230,9 @@
 		p.loseAll(w, now, func(b *booking) bool { return b.phase == phaseAdopted && p.bornOf(b) != 0 && p.bornOf(b) != l.Born })
 	}
 	if !w.listed {
-		w.sureMs = now.Ms + p.leaseBound() // fenced: an earlier owner renews no more
+		// Fenced: an earlier owner renews no more, but may have reckoned by the
+		// clock of an earlier incarnation.
+		w.sureMs = now.Ms + bound(max(p.cfg.LeaseMaxMs, p.cfg.LeaseMs))
 	}
 	w.listed, w.contact = true, true
 	for _, f := range l.Finished {
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -106,6 +106,7 @@
 type workerClock struct {
 	clock int64 // of the worker, in ms
 	at    time.Time
+	born  int64 // incarnation that has this clock
 }
 
 type submission struct {
@@ -128,7 +129,7 @@
 		stored: make(chan struct{}), confirmed: cfg.Clock.Now(), seq: 1, view: cfg.View,
 	}
 	l.plan = sched.NewPlanner(sched.Config{
-		State: cfg.State, SilenceMs: silenceMs, LeaseMs: l.lease(), KeepMs: cfg.KeepMs, FarFactor: cfg.Far,
+		State: cfg.State, SilenceMs: silenceMs, LeaseMs: l.lease(), LeaseMaxMs: cfg.LeaseMax, KeepMs: cfg.KeepMs, FarFactor: cfg.Far,
 	}, l.now())
 	l.plan.SetView(cfg.View)
 	l.log.Info("took over", "jobs", len(cfg.State.Jobs), "offset", cfg.State.Next)
--- a/internal/node/lead/order.go
+++ b/internal/node/lead/order.go
@@ -33,7 +33,7 @@
 // if the clock is not known or nothing may be renewed. The caller holds the lock.
 func (l *Lead) leaseEnd(id string) int64 {
 	c, ok := l.clocks[id]
-	if !ok || !l.mayRenew() {
+	if info, _ := l.plan.Worker(id); !ok || info.Born != c.born || !l.mayRenew() {
 		return 0
 	}
 	l.plan.Renewing(id, l.now())
@@ -250,7 +250,7 @@
 		l.holdFailed(info, err)
 		return false, err
 	}
-	l.clocks[info.ID] = workerClock{clock: h.Clock, at: at}
+	l.clocks[info.ID] = workerClock{clock: h.Clock, at: at, born: h.Born}
 	before := l.plan.Applied(info.ID)
 	l.plan.Listed(info.ID, sched.Lists{SentMs: sent.Ms, Born: h.Born, Running: h.Running, Finished: h.Finished}, l.now())
 	l.logEnds(info.ID, before, h.Finished)
--- a/internal/node/lead/play_test.go
+++ b/internal/node/lead/play_test.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"errors"
 	"fmt"
 	"math/rand"
 	"sort"
@@ -45,8 +46,9 @@
 type player struct {
 	epoch   int64
 	plan    *sched.Planner
-	clocks  map[string][2]int64 // worker -> its clock, and when it was read
+	clocks  map[string][3]int64 // worker -> its clock, when it was read, and the incarnation
 	starts  []sched.Start       // intents not stored
+	stops   []sched.Stop        // not answered yet
 	deposed int64               // since when another owns the topic; 0 if it does
 	confirm int64               // when a record was stored last
 }
@@ -89,11 +91,11 @@
 	if p.mutate == noLeaseWait {
 		silence = -20_000
 	}
-	o := &player{epoch: int64(len(p.owners) + 1), clocks: map[string][2]int64{}, confirm: p.nowMs}
+	o := &player{epoch: int64(len(p.owners) + 1), clocks: map[string][3]int64{}, confirm: p.nowMs}
 	if p.mutate == noFence {
 		o.epoch = 1
 	}
-	o.plan = sched.NewPlanner(sched.Config{State: state, SilenceMs: silence, LeaseMs: playLeaseMs, KeepMs: 1 << 40}, p.now())
+	o.plan = sched.NewPlanner(sched.Config{State: state, SilenceMs: silence, LeaseMs: playLeaseMs, LeaseMaxMs: fakes.HoldMaxMs, KeepMs: 1 << 40}, p.now())
 	o.plan.SetView(playView)
 	if n := len(p.owners); n > 0 {
 		p.owners[n-1].deposed = p.nowMs
@@ -147,8 +149,10 @@
 	}
 	stops := o.plan.TakeStops()
 	sort.Slice(stops, func(a, b int) bool { return stops[a].Ref.String() < stops[b].Ref.String() })
+	stops = append(o.stops, stops...)
+	o.stops = nil
 	for _, s := range stops {
-		p.stop(o, s, 0)
+		p.stop(o, s)
 	}
 	p.holds(o)
 	assert.NilError(p.t, o.plan.Audit())
@@ -173,7 +177,7 @@
 
 func (o *player) leaseEnd(id string, nowMs int64) int64 {
 	c, ok := o.clocks[id]
-	if !ok || nowMs-o.confirm >= silenceMs {
+	if info, _ := o.plan.Worker(id); !ok || info.Born != c[2] || nowMs-o.confirm >= silenceMs {
 		return 0
 	}
 	return c[0] + nowMs - c[1] + playLeaseMs
@@ -192,14 +196,16 @@
 	o.plan.Started(s, outcomeOf(err, 0), p.now())
 }
 
-func (p *play) stop(o *player, s sched.Stop, tries int) {
+// stop sends a stop, and again in the next round if it is not answered.
+func (p *play) stop(o *player, s sched.Stop) {
 	err := p.farm.StopAt(ports.StopOrder{Peer: ports.Peer{ID: s.Worker}, Token: o.epoch, Task: s.Ref.String(), Run: s.Run}, p.nowMs)
 	if err == nil {
 		o.plan.StopDenied(s, p.now())
 		return
 	}
-	if tries < 20 {
-		p.stop(o, s, tries+1)
+	var refused *ports.RefusedError
+	if _, used := o.plan.Worker(s.Worker); used && !errors.As(err, &refused) {
+		o.stops = append(o.stops, s)
 	}
 }
 
@@ -227,7 +233,7 @@
 		if p.mutate == noBornCheck {
 			born = 1
 		}
-		o.clocks[info.ID] = [2]int64{h.Clock, p.nowMs}
+		o.clocks[info.ID] = [3]int64{h.Clock, p.nowMs, h.Born}
 		o.plan.Listed(info.ID, sched.Lists{SentMs: p.nowMs, Born: born, Running: h.Running, Finished: h.Finished}, p.now())
 	}
 }
--- a/internal/plat/fakes/farm.go
+++ b/internal/plat/fakes/farm.go
@@ -371,7 +371,7 @@
 	if o.LeaseEnd <= w.clock(nowMs) {
 		return refused(ports.RefusedLate)
 	}
-	w.lease = max(w.lease, o.LeaseEnd)
+	w.renew(o.LeaseEnd, nowMs)
 	if r := w.runs[o.Task]; r != nil && r.run == o.Run {
 		return nil
 	}
@@ -406,6 +406,14 @@
 	return nil
 }
 
+// HoldMaxMs is the longest lease that a worker of the farm grants.
+const HoldMaxMs = 10_000
+
+// renew takes a lease, shortened to the longest that is granted.
+func (w *farmWorker) renew(end, nowMs int64) {
+	w.lease = max(w.lease, min(end, w.clock(nowMs)+HoldMaxMs))
+}
+
 // fate draws what becomes of an order: -1 is lost on the way back, 0 is
 // answered, and more is the delay of a late one.
 func (f *Farm) fate() int64 {
@@ -479,7 +487,7 @@
 	if err := w.guard(r.Token); err != nil {
 		return ports.HoldAnswer{}, err
 	}
-	w.lease = max(w.lease, r.LeaseEnd)
+	w.renew(r.LeaseEnd, nowMs)
 	f.forget(w, r.Seen)
 	h := ports.HoldAnswer{Clock: w.clock(nowMs), Born: w.info.Born}
 	for task, run := range w.runs {
