--- /dev/null
+++ b/internal/node/gate/cluster_test.go
@@ -0,0 +1,412 @@
+package gate
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/logs"
+	"lagooncourse/internal/base/polls"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/cell/sched"
+	"lagooncourse/internal/plat/fakes"
+	"lagooncourse/internal/plat/ports"
+)
+
+// cluster is some hosts in one process around a store and a farm of workers.
+type cluster struct {
+	t     *testing.T
+	store *fakes.Store
+	farm  *fakes.Farm
+	hosts []*Host
+	ports []int
+	stop  chan struct{}
+	begun time.Time
+}
+
+// testCodec has bodies of its own, as another platform might.
+var testCodec = Codec{
+	Job: func(id string, body []byte) (s sched.Spec, err error) {
+		if err := json.Unmarshal(body, &s); err != nil {
+			return s, fault.Field("body", "", "not a job: %v", err)
+		}
+		s.ID = id
+		return s, nil
+	},
+	JobID: func(id string) error {
+		if len(id) > 8 {
+			return fault.Field("id", id, "must have at most 8 bytes")
+		}
+		return nil
+	},
+	Key:     func(h http.Header) string { return h.Get("Key") },
+	State:   func(s sched.Status) ([]byte, error) { return []byte(s), nil },
+	Pending: func(n int) ([]byte, error) { return []byte(strconv.Itoa(n)), nil },
+}
+
+// workerPorts lets hosts reach the farm in real time.
+type workerPorts struct {
+	farm  *fakes.Farm
+	begun time.Time
+}
+
+func (w workerPorts) nowMs() int64 { return time.Since(w.begun).Milliseconds() + 1 }
+
+func (w workerPorts) Start(_ context.Context, o ports.StartOrder) (int64, error) {
+	return w.farm.StartAt(o, w.nowMs())
+}
+
+func (w workerPorts) Stop(_ context.Context, o ports.StopOrder) error {
+	return w.farm.StopAt(o, w.nowMs())
+}
+
+func (w workerPorts) Hold(ctx context.Context, r ports.HoldRequest) (ports.HoldAnswer, error) {
+	if r.Wait > 0 {
+		sleep(ctx, 20*time.Millisecond)
+	}
+	return w.farm.HoldAt(r, w.nowMs())
+}
+
+// adviser allows every worker.
+type adviser struct {
+	mu    sync.Mutex
+	asked int
+}
+
+func (a *adviser) Advise(_ context.Context, r ports.AdviceRequest) (ports.Advice, error) {
+	a.mu.Lock()
+	a.asked++
+	a.mu.Unlock()
+	t := map[string]string{}
+	for _, id := range r.Workers {
+		t[id] = "t"
+	}
+	return ports.Advice{Tickets: t}, nil
+}
+
+func newCluster(t *testing.T, n int) *cluster {
+	c := &cluster{
+		t: t, store: fakes.NewStore(1), stop: make(chan struct{}), begun: time.Now(),
+		farm: fakes.NewFarm(fakes.FarmConfig{
+			Workers: 4, Capacity: jobs.Size{CPU: 8_000, Mem: 8_000}, Rack: 2, Azs: []string{"x", "y"}, Service: "s", Seed: 1,
+		}),
+	}
+	site, err := json.Marshal(ports.Site{
+		Version: 3, Queues: []sched.Queue{
+			{Name: "q", Host: "h.example", Prefix: "/q/", Service: "s", Attempts: 3, Slack: 2, TargetMs: 500, Advice: &sched.AdviceCost{BaseMs: 1, ValidMs: 2000}},
+		},
+		Teams: []ports.Team{{Name: "t", Keys: []string{"k"}, Weight: 100}},
+	})
+	assert.NilError(t, err)
+	c.store.Put("op", "config", site)
+	for _, w := range c.farm.Entries() {
+		data, err := json.Marshal(w)
+		assert.NilError(t, err)
+		c.store.Put("workers", w.ID, data)
+	}
+	for i := range n {
+		c.ports = append(c.ports, freePort(t))
+		c.hosts = append(c.hosts, nil)
+		c.start(i)
+	}
+	t.Cleanup(func() {
+		for _, h := range c.hosts {
+			if h != nil {
+				h.Kill()
+			}
+		}
+	})
+	return c
+}
+
+func freePort(t *testing.T) int {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer ln.Close()
+	return ln.Addr().(*net.TCPAddr).Port
+}
+
+// start starts host i anew.
+func (c *cluster) start(i int) {
+	h, err := Start(Config{
+		Host: fmt.Sprintf("h%d", i), IP: "127.0.0.1", Az: "x", Listen: "127.0.0.1:0", Ready: "127.0.0.1:0", ReadyPath: "/up",
+		PeerPort: c.ports[i], Power: 400,
+		Store: c.store.For(fmt.Sprint(i)), Workers: workerPorts{c.farm, c.begun}, Adviser: &adviser{}, Codec: testCodec,
+		OperatorTopic: "op", WorkerTopic: "workers", JobTopic: "jobs", HostTopic: "hosts",
+		ParseSite: func(b []byte) (s ports.Site, err error) { return s, json.Unmarshal(b, &s) },
+		ParseOperator: func(key string) OperatorRecord {
+			az, ok := strings.CutPrefix(key, "out/")
+			if !ok {
+				az = ""
+			}
+			return OperatorRecord{Config: key == "config", Az: az}
+		},
+		ParseWorker: func(_ string, b []byte) (w sched.WorkerInfo, err error) { return w, json.Unmarshal(b, &w) },
+		WorkerID:    func(key string) string { return key },
+		KeepMs:      60_000, LeaseMax: fakes.HoldMaxMs, Logger: logs.Discard(),
+	})
+	assert.NilError(c.t, err)
+	c.hosts[i] = h
+}
+
+// owner returns the index of the host that owns the jobs, -1 if none does.
+func (c *cluster) owner() int {
+	for i, h := range c.hosts {
+		if h == nil {
+			continue
+		}
+		h.mu.Lock()
+		leads := h.lead != nil
+		h.mu.Unlock()
+		if leads {
+			return i
+		}
+	}
+	return -1
+}
+
+func (c *cluster) awaitOwner() int {
+	c.t.Helper()
+	polls.Until(c.t, 10*time.Second, "an owner", func() bool { return c.owner() >= 0 })
+	return c.owner()
+}
+
+// call sends a request to host i and returns status and body.
+func (c *cluster) call(i int, method, path, body string) (int, string) {
+	r, err := http.NewRequest(method, "http://"+c.hosts[i].front.Addr()+path, strings.NewReader(body))
+	assert.NilError(c.t, err)
+	r.Host = "h.example"
+	r.Header.Set("Key", "k")
+	client := &http.Client{Timeout: 5 * time.Second}
+	resp, err := client.Do(r)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data)
+}
+
+// submit hands a job in at host i and returns the status.
+func (c *cluster) submit(i int, id string, ms int64) int {
+	spec := sched.Spec{ID: id, Queue: "q", Team: "t", Steps: []sched.Step{{Count: 2, Size: jobs.Size{CPU: 500}, EstimateMs: ms}}}
+	c.farm.Know(spec)
+	body, err := json.Marshal(spec)
+	assert.NilError(c.t, err)
+	status, _ := c.call(i, "POST", "/q/"+id, string(body))
+	return status
+}
+
+// awaitState waits until host i shows the job in a state.
+func (c *cluster) awaitState(i int, id, want string, within time.Duration) {
+	c.t.Helper()
+	polls.Until(c.t, within, "job "+id+" "+want, func() bool {
+		_, body := c.call(i, "GET", "/q/"+id, "")
+		return body == want
+	})
+}
+
+func (c *cluster) check() {
+	c.t.Helper()
+	assert.DeepEqual(c.t, c.farm.Broken(), []string(nil))
+}
+
+func (c *cluster) awaitReady() {
+	c.t.Helper()
+	c.awaitOwner()
+	polls.Until(c.t, 10*time.Second, "all hosts ready", func() bool {
+		for _, h := range c.hosts {
+			if h != nil && !h.ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestServe(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitReady()
+	for i := range 3 {
+		id := fmt.Sprintf("j%d", i)
+		assert.Equal(t, c.submit(i, id, 100), 200)
+		assert.Equal(t, c.submit((i+1)%3, id, 100), 200, "a repeat is the same job")
+		c.awaitState((i+2)%3, id, "completed", 5*time.Second)
+	}
+	assert.Equal(t, c.farm.Starts(), 6)
+	c.check()
+}
+
+func TestBadCalls(t *testing.T) {
+	c := newCluster(t, 2)
+	c.awaitReady()
+	for _, x := range []struct {
+		method, path, body string
+		status             int
+	}{
+		{"GET", "/q/none", "", 410}, {"DELETE", "/q/none", "", 410}, {"GET", "/other/x", "", 404}, {"POST", "/q/a", "{", 400},
+		{"POST", "/q/" + strings.Repeat("a", 9), "{}", 400}, {"PUT", "/q/a", "", 400}, {"GET", "/q/", "", 200},
+	} {
+		status, body := c.call(1, x.method, x.path, x.body)
+		assert.Equal(t, status, x.status, "%s %s: %s", x.method, x.path, body)
+	}
+	r, err := http.NewRequest("GET", "http://"+c.hosts[0].front.Addr()+"/q/a", nil)
+	assert.NilError(t, err)
+	r.Host = "h.example"
+	resp, err := http.DefaultClient.Do(r)
+	assert.NilError(t, err)
+	resp.Body.Close()
+	assert.Equal(t, resp.StatusCode, 401)
+	assert.Equal(t, c.farm.Starts(), 0)
+}
+
+// TestTakeover kills the owner while jobs run: they end once, and a new host
+// answers for them.
+func TestTakeover(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitReady()
+	for i := range 10 {
+		assert.Equal(t, c.submit(i%3, fmt.Sprintf("k%d", i), 1500), 200)
+	}
+	old := c.owner()
+	c.hosts[old].Kill()
+	c.hosts[old] = nil
+	killed := time.Now()
+	polls.Until(t, 5*time.Second, "a successor", func() bool { return c.owner() >= 0 })
+	t.Logf("takeover after %v", time.Since(killed))
+	for i := range 10 {
+		c.awaitState((old+1)%3, fmt.Sprintf("k%d", i), "completed", 10*time.Second)
+	}
+	assert.Equal(t, c.farm.Starts(), 20, "nothing ran again")
+	c.check()
+}
+
+// TestAllRestart kills every host: accepted jobs survive in the store.
+func TestAllRestart(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitReady()
+	for i := range 6 {
+		assert.Equal(t, c.submit(i%3, fmt.Sprintf("r%d", i), 300), 200)
+	}
+	c.store.Forget("jobs") // only the newest record of each key remains
+	for i, h := range c.hosts {
+		h.Kill()
+		c.start(i)
+	}
+	c.awaitReady()
+	for i := range 6 {
+		c.awaitState(i%3, fmt.Sprintf("r%d", i), "completed", 15*time.Second)
+	}
+	c.check()
+}
+
+// TestStoreTurnsOwnerAway has the owner write through its peers.
+func TestStoreTurnsOwnerAway(t *testing.T) {
+	for _, silent := range []bool{false, true} {
+		t.Run(fmt.Sprint("silent=", silent), func(t *testing.T) {
+			c := newCluster(t, 3)
+			c.awaitReady()
+			old := c.owner()
+			c.store.SetFaults(fakes.StoreFaults{Away: map[string]bool{fmt.Sprint(old): true}, Silent: silent})
+			for i := range 4 {
+				assert.Equal(t, c.submit(i%3, fmt.Sprintf("a%d", i), 50), 200)
+			}
+			c.awaitState(old, "a3", "completed", 8*time.Second)
+			assert.Equal(t, c.owner(), old, "the owner keeps the jobs")
+			c.check()
+		})
+	}
+}
+
+// TestStoreDown refuses truthfully while the store is away, and goes on after.
+func TestStoreDown(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitReady()
+	assert.Equal(t, c.submit(0, "d0", 3000), 200)
+	c.store.SetFaults(fakes.StoreFaults{Down: true})
+	var refused []string
+	for i := range 8 {
+		id := fmt.Sprintf("e%d", i)
+		switch status := c.submit(i%3, id, 50); status {
+		case 503:
+			refused = append(refused, id)
+		case 200:
+			t.Errorf("%s accepted while nothing can be stored", id)
+		}
+	}
+	assert.Assert(t, len(refused) > 0, "submissions are refused at once when the outage is known")
+	c.store.SetFaults(fakes.StoreFaults{})
+	c.awaitState(1, "d0", "completed", 10*time.Second)
+	time.Sleep(500 * time.Millisecond)
+	for _, id := range refused {
+		status, body := c.call(1, "GET", "/q/"+id, "")
+		assert.Equal(t, status, 410, "%s was refused as not run: %s", id, body)
+	}
+	c.check()
+}
+
+// TestLostAnswers repeats appends without storing anything twice.
+func TestLostAnswers(t *testing.T) {
+	c := newCluster(t, 2)
+	c.awaitReady()
+	c.store.SetFaults(fakes.StoreFaults{Lost: 0.3})
+	for i := range 20 {
+		assert.Equal(t, c.submit(i%2, fmt.Sprintf("l%d", i), 20), 200)
+	}
+	c.store.SetFaults(fakes.StoreFaults{})
+	for i := range 20 {
+		c.awaitState(0, fmt.Sprintf("l%d", i), "completed", 10*time.Second)
+	}
+	assert.Equal(t, c.farm.Starts(), 40)
+	c.check()
+}
+
+// TestGracefulStop hands the jobs over and refuses nothing.
+func TestGracefulStop(t *testing.T) {
+	c := newCluster(t, 3)
+	c.awaitReady()
+	old := c.owner()
+	other := (old + 1) % 3
+	assert.Equal(t, c.submit(other, "g0", 1000), 200)
+	done := make(chan error)
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		done <- c.hosts[old].Stop(ctx)
+	}()
+	for i := range 10 {
+		assert.Equal(t, c.submit(other, fmt.Sprintf("h%d", i), 20), 200)
+		time.Sleep(100 * time.Millisecond)
+	}
+	assert.NilError(t, <-done)
+	c.hosts[old] = nil
+	c.awaitState(other, "g0", "completed", 5*time.Second)
+	c.awaitState(other, "h9", "completed", 5*time.Second)
+	c.check()
+}
+
+// TestZoneOut starts nothing in a zone that operators have taken out.
+func TestZoneOut(t *testing.T) {
+	c := newCluster(t, 2)
+	c.awaitReady()
+	c.store.Put("op", "out/x", []byte("{}"))
+	polls.Until(t, 3*time.Second, "all hosts know", func() bool {
+		return c.hosts[0].site.view().Closed["x"] && c.hosts[1].site.view().Closed["x"]
+	})
+	assert.Equal(t, c.submit(0, "z0", 3000), 200)
+	c.awaitState(0, "z0", "running", 3*time.Second)
+	c.store.Put("op", "out/x", nil)
+	polls.Until(t, 3*time.Second, "the zone is back", func() bool { return !c.hosts[0].site.view().Closed["x"] })
+	c.check()
+}
--- a/internal/node/gate/front.go
+++ b/internal/node/gate/front.go
@@ -76,10 +76,14 @@
 	}
 	c.Queue = q.Name
 	c.ID = strings.ToLower(strings.TrimPrefix(r.URL.Path, q.Prefix))
-	switch {
-	case r.Method == http.MethodGet && c.ID == "":
+	if r.Method == http.MethodGet && c.ID == "" {
 		c.Kind = callPending
 		return c, nil
+	}
+	if err := h.cfg.Codec.JobID(c.ID); err != nil {
+		return c, err
+	}
+	switch {
 	case r.Method == http.MethodGet:
 		c.Kind = callStatus
 	case r.Method == http.MethodDelete:
@@ -90,7 +94,7 @@
 	default:
 		return c, fault.Field("method", r.Method, "must be GET, POST or DELETE")
 	}
-	return c, h.cfg.Codec.JobID(c.ID)
+	return c, nil
 }
 
 // submission reads the body of a job.
--- /dev/null
+++ b/internal/node/gate/peers_test.go
@@ -0,0 +1,64 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestShouldClaim(t *testing.T) {
+	now := time.Unix(1000, 0)
+	live := func(addr string, power int64) peer {
+		return peer{addr: addr, heard: now, power: power, heardBy: time.Hour}
+	}
+	hears := func(addr string) peer {
+		return peer{addr: addr, heard: now, owner: "o", heardBy: 100 * time.Millisecond}
+	}
+	dead := func(addr string) peer { return peer{addr: addr, heard: now.Add(-time.Minute)} }
+	for _, c := range []struct {
+		name string
+		c    contest
+		want bool
+	}{
+		{"the owner was heard", contest{silent: 700 * time.Millisecond}, false},
+		{"nobody else is known", contest{silent: suspectAfter}, true},
+		{"first by address", contest{silent: suspectAfter, peers: []peer{live("b", 0)}}, true},
+		{"second by address", contest{self: "c", silent: suspectAfter, peers: []peer{live("b", 0)}}, false},
+		{"second, later", contest{self: "c", silent: suspectAfter + claimStagger, peers: []peer{live("b", 0)}}, true},
+		{"a stronger host goes first", contest{silent: suspectAfter, power: 192, peers: []peer{live("b", 800)}}, false},
+		{"a peer hears the owner", contest{silent: time.Minute, peers: []peer{hears("b")}}, false},
+		{"alone, the topic grows", contest{silent: time.Minute, grows: true, peers: []peer{dead("b")}}, false},
+		{"alone, for long", contest{silent: aloneAfter + 1, peers: []peer{dead("b")}}, true},
+		{"alone, not for long", contest{silent: aloneAfter - 1, peers: []peer{dead("b")}}, false},
+		{"invited", contest{invited: true}, true},
+	} {
+		if c.c.self == "" {
+			c.c.self = "a"
+		}
+		c.c.now = now
+		assert.Equal(t, c.c.shouldClaim(), c.want, c.name)
+	}
+}
+
+func TestSuccessor(t *testing.T) {
+	now := time.Unix(1000, 0)
+	peers := []peer{
+		{addr: "a", heard: now, power: 800, storeOK: true}, {addr: "b", heard: now, power: 900, storeOK: true, leaving: true},
+		{addr: "c", heard: now.Add(-time.Minute), power: 900, storeOK: true}, {addr: "d", heard: now, power: 900},
+	}
+	addr, ok := successor(192, peers, now)
+	assert.Assert(t, ok)
+	assert.Equal(t, addr, "a")
+	_, ok = successor(500, peers, now)
+	assert.Assert(t, !ok, "not much stronger")
+}
+
+func TestEpochsRise(t *testing.T) {
+	last := int64(0)
+	for range 1000 {
+		next := nextEpoch(last)
+		assert.Assert(t, next > last)
+		last = next
+	}
+}
