--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -91,6 +91,7 @@
 	type candidate struct {
 		id    string
 		slots int
+		slow  int
 	}
 	var stale, unknown []candidate
 	have := 0
@@ -103,17 +104,23 @@
 		switch {
 		case !asked:
 			if slots(w.Capacity, pt.spec().charge(), 1) > 0 {
-				unknown = append(unknown, candidate{id, n})
+				unknown = append(unknown, candidate{id, n, p.learned.slowness(id)})
 			}
 		case g.allowed && n > 0:
 			have += n
 			if _, ok := p.ticket(w, pt, now); !ok {
-				stale = append(stale, candidate{id, n})
+				stale = append(stale, candidate{id, n, p.learned.slowness(id)})
 			}
 		}
 	}
 	order := func(l []candidate) {
 		sort.Slice(l, func(a, b int) bool {
+			if idle := l[a].slots > 0; idle != (l[b].slots > 0) {
+				return idle
+			}
+			if l[a].slow != l[b].slow {
+				return l[a].slow < l[b].slow
+			}
 			if l[a].slots != l[b].slots {
 				return l[a].slots > l[b].slots
 			}
--- a/internal/cell/sched/order.go
+++ b/internal/cell/sched/order.go
@@ -75,7 +75,7 @@
 	var ms int64
 	for i := pt.step; i < len(pt.job.Spec.Steps); i++ {
 		if i == pt.step || dependsOn(pt.job.Spec.Steps, i, pt.step) {
-			ms += p.runMs(pt.job.Spec.Queue, pt.job.Spec.Steps[i])
+			ms += p.learned.runMs(pt.job.Spec.Queue, pt.job.Spec.Steps[i])
 		}
 	}
 	return ms
@@ -130,45 +130,6 @@
 	return list
 }
 
-// runKey names tasks that behave alike.
-type runKey struct {
-	queue string
-	image string
-}
-
-// runTime is a running mean of run times.
-type runTime struct {
-	mean    float64 // ms
-	samples int
-}
-
-const (
-	runSamples = 3   // before them the declared estimate counts
-	runWeight  = 0.1 // of a new sample in the mean
-)
-
-// runMs estimates how long a task of the step runs: as others of its image
-// did, or as declared.
-func (p *Planner) runMs(queue string, s Step) int64 {
-	if r := p.runs[runKey{queue, s.Image}]; r != nil && r.samples >= runSamples {
-		return int64(r.mean)
-	}
-	return s.EstimateMs
-}
-
-// learnRun takes the run time of a task that was done.
-func (p *Planner) learnRun(queue string, s Step, ms int64) {
-	key := runKey{queue, s.Image}
-	r := p.runs[key]
-	if r == nil {
-		r = &runTime{}
-		p.runs[key] = r
-	}
-	r.samples++
-	weight := max(runWeight, 1/float64(r.samples))
-	r.mean += weight * (float64(ms) - r.mean)
-}
-
 // bucket counts how many jobs a team has sent against its weight, which is in
 // jobs a second.
 type bucket struct {
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -143,11 +143,12 @@
 	w     *Worker
 	slots int
 	far   bool  // away from the data
+	slow  int   // by its class of speed
 	left  int64 // CPU left after one task
 }
 
-// sites chooses a worker for each of up to n tasks, fullest first, so that
-// wide tasks find room elsewhere. A gang that has to share a rack gets one
+// sites chooses a worker for each of up to n tasks: near the data, not slower
+// than others, and the fullest first, so that wide tasks find room elsewhere. A gang that has to share a rack gets one
 // rack or nothing.
 func (p *Planner) sites(pt *part, n int, now Instant) []*Worker {
 	s := pt.spec()
@@ -163,12 +164,15 @@
 		if _, ok := p.ticket(w, pt, now); !ok {
 			continue
 		}
-		list = append(list, site{w, k, s.Near != "" && w.Rack != s.Near, w.free().CPU - s.Size.CPU})
+		list = append(list, site{w, k, s.Near != "" && w.Rack != s.Near, p.learned.slowness(w.ID), w.free().CPU - s.Size.CPU})
 	}
 	sort.Slice(list, func(a, b int) bool {
 		if list[a].far != list[b].far {
 			return !list[a].far
 		}
+		if list[a].slow != list[b].slow {
+			return list[a].slow < list[b].slow
+		}
 		if list[a].left != list[b].left {
 			return list[a].left < list[b].left
 		}
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -111,7 +111,7 @@
 	stops   []Stop
 	trust   *trust.Trust
 	good    map[string]*ratio // queue -> share of workers that advice allows
-	runs    map[runKey]*runTime
+	learned learned
 	buckets map[string]*bucket // team -> jobs sent against its weight
 	ended   []endedJob
 }
@@ -129,7 +129,7 @@
 		cfg: cfg, state: cfg.State, workers: map[string]*Worker{}, used: map[string]jobs.Size{},
 		parts: map[partKey]*part{}, waiting: map[partKey]*part{}, dirty: map[string]bool{},
 		durable: map[string]Verdict{}, known: map[string]bool{}, trust: trust.New(trust.Config{}), good: map[string]*ratio{},
-		runs: map[runKey]*runTime{}, buckets: map[string]*bucket{},
+		learned: newLearned(), buckets: map[string]*bucket{},
 	}
 	for id, j := range cfg.State.Jobs {
 		p.known[id] = true
@@ -271,7 +271,7 @@
 		for _, d := range s.After {
 			ends[i] = max(ends[i], ends[d])
 		}
-		ends[i] += p.runMs(spec.Queue, s)
+		ends[i] += p.learned.runMs(spec.Queue, s)
 		chain = max(chain, ends[i])
 	}
 	pt.due = pt.from + int64(q.Slack*float64(chain)) + q.TargetMs
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -319,7 +319,7 @@
 		return
 	}
 	if b != nil && b.run == f.Run && b.phase == phaseUp && f.How == EndDone && j.task(ref) != nil {
-		p.learnRun(j.Spec.Queue, j.Spec.Steps[ref.Step], now.Ms-b.sinceMs)
+		p.learned.learnRun(j.Spec.Queue, w.ID, j.Spec.Steps[ref.Step], now.Ms-b.sinceMs)
 	}
 	t := j.task(ref)
 	if t == nil {
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -30,6 +30,7 @@
 
 func newServe() *cobra.Command {
 	var path string
+	var metrics int
 	cmd := &cobra.Command{
 		Use: "serve [--settings FILE.toml]", Short: "Run the daemon of an entry host on the users' platform", Args: exactly(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -37,10 +38,14 @@
 			if err != nil {
 				return err
 			}
+			if metrics > 0 {
+				set.MetricPort = metrics
+			}
 			return runServe(path, set, cmd.OutOrStdout())
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsEnv), "settings file of the platform")
+	cmd.Flags().IntVar(&metrics, "metrics", 0, "port of the metrics; 0 takes the second internal port")
 	return cmd
 }
 
