Let parts without room rest; send a start only while its room is booked

Ruled out: the desks, which were free.

The play now delays orders on their way, as a paused sender does; without that the mutation 'no fence' was not noticed.

--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -193,7 +193,7 @@
 	if pt == nil {
 		return
 	}
-	pt.advice.asked = false
+	pt.advice.asked, pt.restMs = false, 0
 	pt.advice.askMs = now.Ms + retryAskMs
 	q := p.view.Queues[pt.job.Spec.Queue]
 	if !ok || q.Advice == nil {
--- /dev/null
+++ b/internal/cell/sched/load_test.go
@@ -0,0 +1,124 @@
+package sched
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/cell/jobs"
+)
+
+// noDesks never takes a question.
+type noDesks struct{}
+
+func (noDesks) Idle() bool                  { return false }
+func (noDesks) Take(float64) (string, bool) { return "", false }
+
+// fleet returns a planner with n workers of 32 cores that are all in contact.
+func fleet(n int, now Instant) *Planner {
+	p := NewPlanner(Config{State: NewState(), LeaseMs: 8_000, KeepMs: 60_000}, now)
+	p.SetView(View{Queues: map[string]Queue{
+		"urgent": {Name: "urgent", Service: "s", Attempts: 3, Slack: 2, TargetMs: 250},
+		"wide":   {Name: "wide", Service: "s", Priority: 1, Attempts: 3, Slack: 2, TargetMs: 1000},
+	}})
+	for i := range n {
+		id := fmt.Sprintf("w%04d", i)
+		p.SetWorker(WorkerInfo{ID: id, Addr: id, Service: "s", Capacity: jobs.Size{CPU: 32_000, Mem: 64_000}, Born: 1}, now)
+		p.Listed(id, Lists{SentMs: now.Ms, Born: 1}, now)
+	}
+	return p
+}
+
+// TestNoStarvation was seen as LOST 668 on fwl-numbering-grown, trouble-3: more
+// parts without room than one plan looks at stood before those with room.
+func TestNoStarvation(t *testing.T) {
+	now := Instant{Ms: 1000, Wall: 1000}
+	p := fleet(2, now)
+	for i := range 2 * mostTried {
+		spec := Spec{ID: fmt.Sprintf("a%04d", i), Queue: "urgent", AtMs: now.Wall, Steps: []Step{{Count: 1, Size: jobs.Size{CPU: 33_000}, EstimateMs: 100}}}
+		p.Accept(spec, now)
+	}
+	p.Accept(Spec{ID: "b", Queue: "wide", AtMs: now.Wall, Steps: []Step{{Count: 1, Size: jobs.Size{CPU: 1_000}, EstimateMs: 100}}}, now)
+	var starts []Start
+	for range 4 {
+		now.Ms, now.Wall = now.Ms+2, now.Wall+2
+		starts = append(starts, p.Plan(noDesks{}, now).Starts...)
+	}
+	assert.Equal(t, len(starts), 1)
+	assert.Equal(t, starts[0].Ref.Job, "b")
+}
+
+// TestUrgentUnderLoad plays twice the load that fits, half of it urgent: urgent
+// work is placed within 20 ms of a slot becoming free, and most of it in time.
+func TestUrgentUnderLoad(t *testing.T) {
+	now := Instant{Ms: 1000, Wall: 1000}
+	p := fleet(4, now)
+	type run struct {
+		start Start
+		endMs int64
+	}
+	var running []run
+	ends := map[string]int64{}
+	seen := map[string]int64{}
+	const stepMs, seconds = 5, 20
+	for tick := range seconds * 1000 / stepMs {
+		now.Ms, now.Wall = now.Ms+stepMs, now.Wall+stepMs
+		if tick%20 == 0 { // 10 a second of each
+			for _, q := range []string{"urgent", "wide"} {
+				spec := Spec{ID: fmt.Sprintf("%s%05d", q, tick), Queue: q, AtMs: now.Wall, Steps: []Step{{Count: 2, Size: jobs.Size{CPU: 8_000}, EstimateMs: 800}}}
+				p.Accept(spec, now)
+			}
+		}
+		rest := running[:0]
+		for _, r := range running {
+			if r.endMs > now.Ms {
+				rest = append(rest, r)
+				continue
+			}
+			seen[r.start.Worker]++
+			p.Listed(r.start.Worker, Lists{SentMs: 0, Born: 1, Finished: []Finished{{N: seen[r.start.Worker], Task: r.start.Ref.String(), Run: r.start.Run, How: EndDone}}}, now)
+			ends[r.start.Ref.Job] = now.Wall
+		}
+		running = rest
+		plan := p.Plan(noDesks{}, now)
+		b, err := p.TakeDirty(now)
+		assert.NilError(t, err)
+		p.Stored(b)
+		for _, s := range p.Release(plan.Starts, now) {
+			p.Started(s, StartUp, now)
+			running = append(running, run{s, now.Ms + 800})
+		}
+	}
+	inTime, urgent := 0, 0
+	for id, j := range p.state.Jobs {
+		if j.Spec.Queue != "urgent" || now.Wall-j.Spec.AtMs < 2_000 {
+			continue
+		}
+		urgent++
+		if end, ok := ends[id]; ok && end-j.Spec.AtMs <= 2*800+250 {
+			inTime++
+		}
+	}
+	assert.Assert(t, inTime*10 >= urgent*9, "%d of %d urgent jobs in time", inTime, urgent)
+	assert.NilError(t, p.Audit())
+}
+
+// BenchmarkPlan measures what a placement costs at three sizes of a fleet.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{48, 350, 3200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := Instant{Ms: 1000, Wall: 1000}
+			p := fleet(n, now)
+			for i := range b.N {
+				spec := Spec{ID: fmt.Sprintf("%08d", i), Queue: "urgent", AtMs: now.Wall, Steps: []Step{{Count: 1, Size: jobs.Size{CPU: 1000}, EstimateMs: 500}}}
+				p.Accept(spec, now)
+				plan := p.Plan(noDesks{}, now)
+				for _, s := range plan.Starts {
+					w := p.workers[s.Worker]
+					p.release(w, s.Ref)
+				}
+			}
+		})
+	}
+}
--- a/internal/cell/sched/order.go
+++ b/internal/cell/sched/order.go
@@ -105,11 +105,12 @@
 	return x
 }
 
-// first returns the n parts that go first, in order.
+// first returns the n parts that go first, in order. Parts that rest are passed
+// over, so that a front of parts without room does not starve what is behind.
 func (p *Planner) first(n int, now Instant) []*part {
 	h := make(worst, 0, min(n, len(p.waiting)))
 	for _, pt := range p.waiting {
-		if !p.timely(pt, now) {
+		if now.Ms < pt.restMs || !p.timely(pt, now) {
 			continue
 		}
 		s := p.standing(pt, now)
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -64,6 +64,7 @@
 	}
 	idle = p.withinLimit(pt, idle)
 	if len(idle) == 0 {
+		p.rest(pt, now)
 		return
 	}
 	sites := p.sites(pt, len(idle), now)
@@ -88,7 +89,24 @@
 	p.refresh(pt.job, now)
 }
 
+// Rests of parts that find no room, by urgency.
+const (
+	urgentRestMs = 8
+	restMs       = 40
+)
+
+// rest keeps a part from being looked at for a while.
+func (p *Planner) rest(pt *part, now Instant) {
+	pt.restMs = now.Ms + restMs
+	if p.view.Queues[pt.job.Spec.Queue].Priority == 0 {
+		pt.restMs = now.Ms + urgentRestMs
+	}
+}
+
+// ask asks for the advice that a part needs. A part for which nothing can be
+// asked now rests.
 func (p *Planner) ask(pt *part, need int, plan *Plan, now Instant) {
+	p.rest(pt, now)
 	if !plan.desks.Idle() {
 		return
 	}
@@ -321,6 +339,14 @@
 	return b
 }
 
+// Due reports whether a start that was released is still to be sent: its room
+// is booked, on the same life of its worker, and nobody has asked for its end.
+func (p *Planner) Due(s Start) bool {
+	w := p.workers[s.Worker]
+	b := p.bookingOf(w, s)
+	return b != nil && b.phase == phaseSent && !b.stopping && w.Born == s.Born
+}
+
 func (p *Planner) sendable(s Start, now Instant) bool {
 	pt, w := p.parts[s.part], p.workers[s.Worker]
 	if pt == nil || w == nil || w.Born != s.Born || p.bookingOf(w, s) == nil || !p.usable(w, pt, now) {
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -78,7 +78,8 @@
 	due     int64 // by which the job should have ended, ms since 1970
 	readyMs int64 // steady instant from which it could run; 0 while it may not
 	advice  adviceState
-	failRun int // run of a gang whose failure has been counted
+	restMs  int64 // found no room: it is not looked at before this instant
+	failRun int   // run of a gang whose failure has been counted
 }
 
 func (pt *part) spec() Step      { return pt.job.Spec.Steps[pt.step] }
--- a/internal/node/lead/order.go
+++ b/internal/node/lead/order.go
@@ -46,7 +46,10 @@
 	var err error
 	for try := 0; try < startTries && out == sched.StartUnknown; try++ {
 		l.mu.Lock()
-		end := l.leaseEnd(s.Worker)
+		end := int64(0)
+		if l.plan.Due(s) {
+			end = l.leaseEnd(s.Worker)
+		}
 		l.mu.Unlock()
 		if end == 0 {
 			if try == 0 {
--- a/internal/node/lead/play_test.go
+++ b/internal/node/lead/play_test.go
@@ -49,6 +49,7 @@
 	clocks  map[string][3]int64 // worker -> its clock, when it was read, and the incarnation
 	starts  []sched.Start       // intents not stored
 	stops   []sched.Stop        // not answered yet
+	outbox  []delayed           // starts on their way
 	deposed int64               // since when another owns the topic; 0 if it does
 	confirm int64               // when a record was stored last
 }
@@ -147,6 +148,7 @@
 		o.starts = append(o.starts, o.plan.Plan(freeDesks{}, p.now()).Starts...)
 		p.store(o)
 	}
+	p.deliver(o)
 	stops := o.plan.TakeStops()
 	sort.Slice(stops, func(a, b int) bool { return stops[a].Ref.String() < stops[b].Ref.String() })
 	stops = append(o.stops, stops...)
@@ -171,8 +173,31 @@
 	send := o.plan.Release(o.starts, p.now())
 	o.starts = nil
 	for _, s := range send {
-		p.send(o, s)
+		at := p.nowMs
+		if p.rand.Intn(10) == 0 {
+			at += p.rand.Int63n(2000) // on its way, or its sender is paused
+		}
+		o.outbox = append(o.outbox, delayed{at, s})
+	}
+}
+
+// deliver sends the orders whose time has come.
+func (p *play) deliver(o *player) {
+	rest := o.outbox[:0]
+	for _, d := range o.outbox {
+		if d.atMs > p.nowMs {
+			rest = append(rest, d)
+			continue
+		}
+		p.send(o, d.start)
 	}
+	o.outbox = rest
+}
+
+// delayed is an order that is sent at an instant.
+type delayed struct {
+	atMs  int64
+	start sched.Start
 }
 
 func (o *player) leaseEnd(id string, nowMs int64) int64 {
@@ -185,7 +210,7 @@
 
 func (p *play) send(o *player, s sched.Start) {
 	end := o.leaseEnd(s.Worker, p.nowMs)
-	if end == 0 {
+	if end == 0 || !o.plan.Due(s) {
 		o.plan.Started(s, sched.StartRefused, p.now())
 		return
 	}
