--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -54,13 +54,11 @@
 
 // Config describes a Planner.
 type Config struct {
-	State       *State
-	SilenceMs   int64 // after a claim, how long an earlier owner may have renewed leases
-	LeaseMs     int64 // of a renewal
-	LeaseMaxMs  int64 // longest lease that a worker grants, whatever is asked for
-	KeepMs      int64 // how long an ended job is remembered
-	FarFactor   float64
-	StopAfterMs int64 // unanswered starts are revoked after this time
+	State      *State
+	SilenceMs  int64 // after a claim, how long an earlier owner may have renewed leases
+	LeaseMs    int64 // of a renewal
+	LeaseMaxMs int64 // longest lease that a worker grants, whatever is asked for
+	KeepMs     int64 // how long an ended job is remembered
 }
 
 // Bounds and margins.
--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -16,10 +16,9 @@
 // replica is a host's copy of the jobs' records. The host that owns the jobs
 // hands its copy to the planner and reads everything anew afterwards.
 type replica struct {
-	state  *sched.State
-	loaded bool      // the newest record of each expired key has been read
-	grew   time.Time // when a record was read last
-	busy   bool      // being read or claimed
+	state *sched.State
+	grew  time.Time // when a record was read last
+	busy  bool      // being read or claimed
 }
 
 func newReplica() *replica { return &replica{state: sched.NewState()} }
@@ -261,7 +260,7 @@
 	l := lead.Start(lead.Config{
 		Claim: c, Topic: h.cfg.JobTopic, State: s, Store: h.store, Workers: h.cfg.Workers, Advisers: h.desks,
 		Registry: h.cfg.WorkerTopic, Parse: h.cfg.ParseWorker, WorkerID: h.cfg.WorkerID, View: h.site.view(),
-		Clock: h.clock, Logger: h.cfg.Logger, Metrics: h.leadMet, KeepMs: h.cfg.KeepMs, Far: h.cfg.Far, LeaseMax: h.cfg.LeaseMax,
+		Clock: h.clock, Logger: h.cfg.Logger, Metrics: h.leadMet, KeepMs: h.cfg.KeepMs, LeaseMax: h.cfg.LeaseMax,
 	})
 	h.lead = l
 	h.since = h.clock.Now()
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -58,9 +58,8 @@
 	Listen     string // IP:port for callers
 	Ready      string // IP:port of the readiness check
 	ReadyPath  string
-	PeerPort   int // for frames, alike on all hosts
-	MetricPort int // 0 serves no metrics
-	Seeds      []string
+	PeerPort   int   // for frames, alike on all hosts
+	MetricPort int   // 0 serves no metrics
 	Power      int64 // processor time that the process may use, in millicores; 0 if unknown
 
 	Store   ports.Store
@@ -78,7 +77,6 @@
 	WorkerID      func(key string) string
 
 	KeepMs   int64
-	Far      float64
 	LeaseMax int64
 	Clock    clock.Clock
 	Logger   logr.Logger
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -57,9 +57,8 @@
 	Clock    clock.Clock
 	Logger   logr.Logger
 	Metrics  *Metrics
-	KeepMs   int64   // how long an ended job is remembered
-	Far      float64 // run time away from the data, against near it
-	LeaseMax int64   // longest lease that a worker grants, in ms
+	KeepMs   int64 // how long an ended job is remembered
+	LeaseMax int64 // longest lease that a worker grants, in ms
 }
 
 // Timing of an owner.
@@ -130,7 +129,7 @@
 		stored: make(chan struct{}), confirmed: cfg.Clock.Now(), seq: 1, view: cfg.View,
 	}
 	l.plan = sched.NewPlanner(sched.Config{
-		State: cfg.State, SilenceMs: silenceMs, LeaseMs: l.lease(), LeaseMaxMs: cfg.LeaseMax, KeepMs: cfg.KeepMs, FarFactor: cfg.Far,
+		State: cfg.State, SilenceMs: silenceMs, LeaseMs: l.lease(), LeaseMaxMs: cfg.LeaseMax, KeepMs: cfg.KeepMs,
 	}, l.now())
 	l.plan.SetView(cfg.View)
 	l.log.Info("took over", "jobs", len(cfg.State.Jobs), "offset", cfg.State.Next)
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -93,7 +93,7 @@
 	client := platform.NewClient(platform.ClientConfig{Store: set.StoreAddr, Advice: set.AdviceAddr, Cloud: set.CloudAddr})
 	return gate.Config{
 		Host: set.Host, IP: set.IP, Az: set.Az, Listen: set.Frontend, Ready: set.Ready, ReadyPath: platform.ReadyPath,
-		PeerPort: set.PeerPort, MetricPort: set.MetricPort, Seeds: set.Seeds, Power: int64(set.Cores * 1000),
+		PeerPort: set.PeerPort, MetricPort: set.MetricPort, Power: int64(set.Cores * 1000),
 		Store: client, Workers: client, Adviser: client,
 		Codec: gate.Codec{
 			Job: platform.ParseJob, JobID: platform.ParseJobID, Key: platform.KeyOf, State: platform.StateBody, Pending: platform.PendingBody,
@@ -105,7 +105,7 @@
 			k := platform.ParseOperatorKey(key)
 			return gate.OperatorRecord{Config: k.Config, Az: k.Evacuate, Wave: k.Wave}
 		},
-		KeepMs: set.StatusS * 1000, Far: set.FarFactor, LeaseMax: set.HoldMaxMs,
+		KeepMs: set.StatusS * 1000, LeaseMax: set.HoldMaxMs,
 		Logger: logs.NewJSON(out, "info"),
 	}
 }
