--- a/internal/base/clock/clock.go
+++ b/internal/base/clock/clock.go
@@ -12,6 +12,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"time"
 )
@@ -29,6 +30,16 @@
 // Now returns the current time.
 func (System) Now() time.Time { return time.Now() }
 
+// Sleep waits for d or until ctx ends.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
+
 // Manual is a clock that moves only when a test tells it to.
 type Manual struct {
 	mu  sync.Mutex
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -19,6 +19,11 @@
 	StartUnknown                 // no answer; it may happen yet
 )
 
+// String returns the outcome's name.
+func (o Outcome) String() string {
+	return [...]string{"up", "refused", "noTicket", "noRoom", "old", "unknown"}[o]
+}
+
 // Pauses after refusals.
 const (
 	busyPauseMs = 500 // a worker that is overloaded or unhealthy
--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"time"
 
+	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/frame"
 	"lagooncourse/internal/cell/sched"
@@ -27,6 +28,7 @@
 const (
 	replicaEvery   = 500 * time.Millisecond
 	replicaTimeout = 1500 * time.Millisecond
+	newestTimeout  = 5 * time.Second // some 20 pages of 500 keys at the most
 	claimEvery     = 50 * time.Millisecond
 	claimTries     = 6
 	claimPause     = 50 * time.Millisecond
@@ -51,7 +53,7 @@
 				h.log.V(1).Info("records not read", "err", err.Error())
 			}
 		}
-		sleep(ctx, replicaEvery)
+		clock.Sleep(ctx, replicaEvery)
 	}
 }
 
@@ -113,24 +115,15 @@
 
 // readNewest starts the copy anew from the newest record of each key.
 func (h *Host) readNewest(ctx context.Context, r *replica) error {
+	rctx, cancel := context.WithTimeout(ctx, newestTimeout)
+	defer cancel()
+	all, end, err := ports.ReadNewest(rctx, h.store, h.cfg.JobTopic)
+	if err != nil {
+		return err
+	}
 	s := sched.NewState()
-	end, after := int64(-1), ""
-	for {
-		rctx, cancel := context.WithTimeout(ctx, replicaTimeout)
-		n, err := h.store.Newest(rctx, h.cfg.JobTopic, after)
-		cancel()
-		if err != nil {
-			return err
-		}
-		for _, rec := range n.Records {
-			h.apply(s, rec)
-		}
-		if end < 0 {
-			end = n.End
-		}
-		if after = n.More; after == "" {
-			break
-		}
+	for _, rec := range all {
+		h.apply(s, rec)
 	}
 	s.Next = end
 	r.state = s
@@ -145,13 +138,13 @@
 
 // claimLoop claims the ownership when nobody holds it.
 func (h *Host) claimLoop(ctx context.Context) {
-	sleep(ctx, firstPings)
+	clock.Sleep(ctx, firstPings)
 	for ctx.Err() == nil {
 		if h.mayClaim() {
 			h.tryClaim(ctx)
 		}
 		h.yield(ctx)
-		sleep(ctx, claimEvery)
+		clock.Sleep(ctx, claimEvery)
 	}
 }
 
@@ -250,7 +243,7 @@
 		if err == nil || answered(err) {
 			return offset, err
 		}
-		sleep(ctx, claimPause)
+		clock.Sleep(ctx, claimPause)
 	}
 	return offset, err
 }
--- a/internal/node/gate/cluster_test.go
+++ b/internal/node/gate/cluster_test.go
@@ -15,6 +15,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/logs"
 	"lagooncourse/internal/base/polls"
@@ -73,7 +74,7 @@
 
 func (w workerPorts) Hold(ctx context.Context, r ports.HoldRequest) (ports.HoldAnswer, error) {
 	if r.Wait > 0 {
-		sleep(ctx, 20*time.Millisecond)
+		clock.Sleep(ctx, 20*time.Millisecond)
 	}
 	return w.farm.HoldAt(r, w.nowMs())
 }
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -248,7 +248,7 @@
 func (h *Host) drain(ctx context.Context) {
 	until := h.clock.Now().Add(drainFor)
 	for ctx.Err() == nil && (h.clock.Now().Before(until) || h.inFlight.Load() > 0) {
-		sleep(ctx, 20*time.Millisecond)
+		clock.Sleep(ctx, 20*time.Millisecond)
 	}
 }
 
@@ -290,12 +290,3 @@
 		l.SetView(v)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/node/gate/member.go
+++ b/internal/node/gate/member.go
@@ -6,6 +6,7 @@
 	"sort"
 	"time"
 
+	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/frame"
 	"lagooncourse/internal/plat/ports"
 )
@@ -30,7 +31,7 @@
 		if err != nil || !registered {
 			pause = rosterFirst
 		}
-		sleep(ctx, pause)
+		clock.Sleep(ctx, pause)
 	}
 }
 
@@ -63,20 +64,11 @@
 		}
 	}
 	if next < 0 {
-		after := ""
-		for {
-			n, err := h.store.Newest(ctx, h.cfg.HostTopic, after)
-			if err != nil {
-				return -1, err
-			}
-			records = append(records, n.Records...)
-			if next < 0 {
-				next = n.End
-			}
-			if after = n.More; after == "" {
-				break
-			}
+		all, end, err := ports.ReadNewest(ctx, h.store, h.cfg.HostTopic)
+		if err != nil {
+			return -1, err
 		}
+		records, next = all, end
 	}
 	h.takeRoster(records)
 	return next, nil
@@ -106,7 +98,7 @@
 			go h.ping(ctx, addr)
 		}
 		round++
-		sleep(ctx, pingEvery)
+		clock.Sleep(ctx, pingEvery)
 	}
 }
 
--- a/internal/node/gate/site.go
+++ b/internal/node/gate/site.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/frame"
 	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/plat/ports"
@@ -111,7 +112,7 @@
 		var err error
 		next, err = h.readSite(ctx, next)
 		if err != nil {
-			sleep(ctx, sitePause)
+			clock.Sleep(ctx, sitePause)
 		}
 	}
 }
@@ -140,7 +141,7 @@
 		next = r.Offset + 1
 	}
 	if wait == 0 && len(page.Records) == 0 {
-		sleep(ctx, sitePause)
+		clock.Sleep(ctx, sitePause)
 	}
 	return next, nil
 }
@@ -149,21 +150,9 @@
 func (h *Host) readWholeSite(ctx context.Context) (int64, error) {
 	rctx, cancel := context.WithTimeout(ctx, siteTimeout)
 	defer cancel()
-	var all []ports.Record
-	end, after := int64(-1), ""
-	for {
-		n, err := h.store.Newest(rctx, h.cfg.OperatorTopic, after)
-		if err != nil {
-			return -1, err
-		}
-		all = append(all, n.Records...)
-		if end < 0 {
-			end = n.End
-		}
-		if n.More == "" {
-			break
-		}
-		after = n.More
+	all, end, err := ports.ReadNewest(rctx, h.store, h.cfg.OperatorTopic)
+	if err != nil {
+		return -1, err
 	}
 	h.site.replace(all, end)
 	h.takeSite(all, end)
--- a/internal/node/lead/order.go
+++ b/internal/node/lead/order.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/plat/ports"
@@ -75,7 +76,7 @@
 	if out != sched.StartUp {
 		l.wake()
 	}
-	l.log.Info("start", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker, "outcome", out, "err", errText(err))
+	l.log.Info("start", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker, "outcome", out.String(), "err", errText(err))
 }
 
 func errText(err error) string {
@@ -195,7 +196,7 @@
 		ends, err := l.hold(ctx, info)
 		switch {
 		case err != nil:
-			sleep(ctx, pause)
+			clock.Sleep(ctx, pause)
 			pause = min(2*pause, maxHoldPause)
 			continue
 		case ends:
@@ -205,15 +206,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // awaitStored waits for the next append, so that a worker is not asked again
 // while it still lists ends that are not stored.
 func (l *Lead) awaitStored(ctx context.Context) {
@@ -294,7 +286,7 @@
 		if err != nil {
 			l.log.V(1).Info("registry not read", "err", err.Error())
 		}
-		sleep(l.ctx, registryEvery)
+		clock.Sleep(l.ctx, registryEvery)
 	}
 }
 
@@ -326,21 +318,9 @@
 
 // readAllEntries reads the newest entry of each worker; the others are gone.
 func (l *Lead) readAllEntries(ctx context.Context) (int64, error) {
-	var all []ports.Record
-	end, after := int64(-1), ""
-	for {
-		n, err := l.cfg.Store.Newest(ctx, l.cfg.Registry, after)
-		if err != nil {
-			return -1, err
-		}
-		all = append(all, n.Records...)
-		if end < 0 {
-			end = n.End
-		}
-		if n.More == "" {
-			break
-		}
-		after = n.More
+	all, end, err := ports.ReadNewest(ctx, l.cfg.Store, l.cfg.Registry)
+	if err != nil {
+		return -1, err
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/node/lead/write.go
+++ b/internal/node/lead/write.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/plat/ports"
@@ -28,7 +29,7 @@
 		if due {
 			signal(l.write)
 		}
-		sleep(l.ctx, planPause)
+		clock.Sleep(l.ctx, planPause)
 	}
 }
 
--- a/internal/plat/ports/ports.go
+++ b/internal/plat/ports/ports.go
@@ -98,6 +98,24 @@
 	Newest(ctx context.Context, topic, after string) (Newest, error)
 }
 
+// ReadNewest returns the newest record of each key of a topic, and the offset
+// from which Read continues: pages are not a snapshot, so it is that of the first.
+func ReadNewest(ctx context.Context, s Store, topic string) (all []Record, end int64, err error) {
+	after := ""
+	for first := true; first || after != ""; first = false {
+		n, err := s.Newest(ctx, topic, after)
+		if err != nil {
+			return nil, 0, err
+		}
+		all = append(all, n.Records...)
+		if first {
+			end = n.End
+		}
+		after = n.More
+	}
+	return all, end, nil
+}
+
 // Peer addresses one incarnation of a worker.
 type Peer struct {
 	ID   string
