--- a/internal/node/gate/cluster_test.go
+++ b/internal/node/gate/cluster_test.go
@@ -51,9 +51,10 @@
 		}
 		return nil
 	},
-	Key:     func(h http.Header) string { return h.Get("Key") },
-	State:   func(s sched.Status) ([]byte, error) { return []byte(s), nil },
-	Pending: func(n int) ([]byte, error) { return []byte(strconv.Itoa(n)), nil },
+	Key:      func(h http.Header) string { return h.Get("Key") },
+	Deadline: func(http.Header) time.Duration { return 0 },
+	State:    func(s sched.Status) ([]byte, error) { return []byte(s), nil },
+	Pending:  func(n int) ([]byte, error) { return []byte(strconv.Itoa(n)), nil },
 }
 
 // workerPorts lets hosts reach the farm in real time.
--- a/internal/node/gate/front.go
+++ b/internal/node/gate/front.go
@@ -15,7 +15,6 @@
 
 // Bounds of a caller's request.
 const (
-	deadlineHeader  = "X-Lagooncourse-Deadline-Ms"
 	defaultDeadline = 3 * time.Second
 	answerMargin    = 300 * time.Millisecond  // for the answer to reach the caller before its deadline
 	ownerWait       = 1500 * time.Millisecond // an ordinary takeover takes less
@@ -53,11 +52,10 @@
 
 // deadline returns how long the caller waits.
 func (h *Host) deadline(r *http.Request) time.Duration {
-	ms, err := strconv.ParseInt(r.Header.Get(deadlineHeader), 10, 64)
-	if err != nil || ms <= 0 {
-		return defaultDeadline
+	if d := h.cfg.Codec.Deadline(r.Header); d > 0 {
+		return d
 	}
-	return time.Duration(ms) * time.Millisecond
+	return defaultDeadline
 }
 
 // call checks a request and says what it wants.
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -43,11 +43,12 @@
 
 // Codec translates what callers send and get.
 type Codec struct {
-	Job     func(id string, body []byte) (sched.Spec, error)
-	JobID   func(id string) error
-	Key     func(http.Header) string
-	State   func(sched.Status) ([]byte, error)
-	Pending func(int) ([]byte, error)
+	Job      func(id string, body []byte) (sched.Spec, error)
+	JobID    func(id string) error
+	Key      func(http.Header) string
+	Deadline func(http.Header) time.Duration // how long the caller waits; 0 if it does not say
+	State    func(sched.Status) ([]byte, error)
+	Pending  func(int) ([]byte, error)
 }
 
 // Config describes a Host.
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -96,7 +96,7 @@
 		PeerPort: set.PeerPort, MetricPort: set.MetricPort, Power: int64(set.Cores * 1000),
 		Store: client, Workers: client, Adviser: client,
 		Codec: gate.Codec{
-			Job: platform.ParseJob, JobID: platform.ParseJobID, Key: platform.KeyOf, State: platform.StateBody, Pending: platform.PendingBody,
+			Job: platform.ParseJob, JobID: platform.ParseJobID, Key: platform.KeyOf, Deadline: platform.DeadlineOf, State: platform.StateBody, Pending: platform.PendingBody,
 		},
 		OperatorTopic: platform.TopicOperator, WorkerTopic: platform.TopicWorkers,
 		JobTopic: platform.KeyedTopic(jobTopic), HostTopic: platform.KeyedTopic(hostTopic),
