Tell callers the truth about submissions that are on their way to the store

Found by reading the change again, three faults of one kind: - A batch that held only a part of the acceptances called itself complete, and callers got their 200 before the record was stored (TestLargeBatch: 260 of 600). - A repeat of a submission whose record may have reached the store was refused as not run (TestDoubtfulSubmission: 503). - When the ownership ended during an append, those whose requests it carried were left to their deadline; now they hear at once that the outcome is unknown. The two tests failed first.

--- a/internal/cell/sched/batch.go
+++ b/internal/cell/sched/batch.go
@@ -22,7 +22,7 @@
 // maxBatchBytes bounds one append; the store takes 2 MB a call.
 const maxBatchBytes = 1 << 20
 
-// Dirty reports whether TakeDirty would return records or marks of ends.
+// Dirty reports whether there is progress or an acceptance to store.
 func (p *Planner) Dirty() bool {
 	return len(p.dirty) > 0 || len(p.fresh) > 0
 }
@@ -47,6 +47,9 @@
 		}
 		b.Accepted = append(b.Accepted, s.ID)
 	}
+	if len(p.fresh) > 0 {
+		return b, nil
+	}
 	for id := range p.dirty {
 		if size >= maxBatchBytes {
 			return b, nil // ends are not marked as seen before all of them are stored
--- a/internal/cell/sched/load_test.go
+++ b/internal/cell/sched/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -122,3 +123,29 @@
 		})
 	}
 }
+
+// TestLargeBatch has more acceptances than one append carries: none is taken
+// for stored before its record is.
+func TestLargeBatch(t *testing.T) {
+	now := Instant{Ms: 1000, Wall: 1000}
+	p := NewPlanner(Config{State: NewState(), LeaseMs: 8_000, KeepMs: 60_000}, now)
+	const n = 600
+	for i := range n {
+		p.Accept(Spec{
+			ID: fmt.Sprintf("%04d", i), Queue: "q", AtMs: now.Wall, Payload: strings.Repeat("x", 4000),
+			Steps: []Step{{Count: 1, Size: jobs.Size{CPU: 1}}},
+		}, now)
+	}
+	stored := 0
+	for batches := 1; ; batches++ {
+		b, err := p.TakeDirty(now)
+		assert.NilError(t, err)
+		p.Stored(b)
+		stored += len(b.Accepted)
+		if b.Complete {
+			assert.Equal(t, stored, n, "complete after %d batches", batches)
+			assert.Assert(t, batches > 1)
+			return
+		}
+	}
+}
--- a/internal/node/gate/cluster_test.go
+++ b/internal/node/gate/cluster_test.go
@@ -412,3 +412,21 @@
 	polls.Until(t, 3*time.Second, "the zone is back", func() bool { return !c.hosts[0].site.view().Closed["x"] })
 	c.check()
 }
+
+// TestDoubtfulSubmission repeats a submission whose record may have reached the
+// store: it is not refused as not run, since it may run yet.
+func TestDoubtfulSubmission(t *testing.T) {
+	c := newCluster(t, 1)
+	c.awaitReady()
+	c.store.SetFaults(fakes.StoreFaults{Down: true, Silent: true})
+	assert.Equal(t, c.submit(0, "x", 50), 504)
+	for range 3 {
+		assert.Equal(t, c.submit(0, "x", 50), 504)
+	}
+	assert.Equal(t, c.submit(0, "y", 50), 503, "nothing of this one was sent")
+	c.store.SetFaults(fakes.StoreFaults{})
+	c.awaitState(0, "x", "completed", 8*time.Second)
+	status, _ := c.call(0, "GET", "/q/y", "")
+	assert.Equal(t, status, 410)
+	c.check()
+}
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -211,8 +211,8 @@
 		return nil
 	}
 	if err := l.admit(); err != nil {
-		l.mu.Unlock()
-		return err
+		defer l.mu.Unlock()
+		return l.refusal(spec.ID, err)
 	}
 	l.submits = append(l.submits, s)
 	l.mu.Unlock()
@@ -242,6 +242,21 @@
 // retryAfterOutage is in seconds; outages of the store last several.
 const retryAfterOutage = 2
 
+// errDoubt answers a request whose record may be stored already or yet.
+func errDoubt() error {
+	return fault.New(fault.Timeout, fault.Unknown, "the store has not confirmed the request yet")
+}
+
+// refusal returns the refusal of a submission, unless an earlier one of the same
+// job is on its way to the store: then the job may run yet. The caller holds the
+// lock.
+func (l *Lead) refusal(id string, err error) error {
+	if _, sent := l.plan.Job(id); sent {
+		return errDoubt()
+	}
+	return err
+}
+
 // abandon takes a submission back if it was not sent to the store yet.
 func (l *Lead) abandon(s *submission) error {
 	l.mu.Lock()
@@ -249,7 +264,7 @@
 	for i, o := range l.submits {
 		if o == s {
 			l.submits = append(l.submits[:i], l.submits[i+1:]...)
-			return fault.New(fault.Unavailable, fault.NotRun, "not stored in time").WithRetryAfter(1)
+			return l.refusal(s.spec.ID, fault.New(fault.Unavailable, fault.NotRun, "not stored in time").WithRetryAfter(1))
 		}
 	}
 	select {
@@ -257,7 +272,7 @@
 		return err
 	default:
 	}
-	return fault.New(fault.Timeout, fault.Unknown, "the store has not confirmed the job yet")
+	return errDoubt()
 }
 
 // Cancel ends a job and returns once that is stored.
@@ -275,7 +290,7 @@
 	case err := <-c.done:
 		return err
 	case <-ctx.Done():
-		return fault.New(fault.Timeout, fault.Unknown, "the store has not confirmed the cancellation yet")
+		return errDoubt()
 	}
 }
 
--- a/internal/node/lead/write.go
+++ b/internal/node/lead/write.go
@@ -78,6 +78,7 @@
 	w, err := l.prepare()
 	for err == nil {
 		if len(w.batch.Keys) > 0 && !l.store(w.batch) {
+			w.doubt()
 			return false
 		}
 		l.mu.Lock()
@@ -93,6 +94,7 @@
 	if err != nil {
 		l.log.Error(err, "records not encoded")
 		l.Stop("records not encoded")
+		w.doubt()
 		return false
 	}
 	l.answer(w)
@@ -109,6 +111,17 @@
 	unknown map[*cancellation]bool
 }
 
+// doubt answers everybody whose request was on its way to the store when the
+// ownership ended.
+func (w *work) doubt() {
+	for _, s := range w.submits {
+		s.done <- errDoubt()
+	}
+	for _, c := range w.cancels {
+		c.done <- errDoubt()
+	}
+}
+
 // prepare takes what waits and lets the planner decide.
 func (l *Lead) prepare() (w *work, err error) {
 	l.mu.Lock()
@@ -258,7 +271,7 @@
 		return
 	}
 	for _, s := range l.submits {
-		s.done <- fault.New(fault.Unavailable, fault.NotRun, "the store does not answer").WithRetryAfter(retryAfterOutage)
+		s.done <- l.refusal(s.spec.ID, fault.New(fault.Unavailable, fault.NotRun, "the store does not answer").WithRetryAfter(retryAfterOutage))
 	}
 	l.submits = nil
 }
@@ -268,7 +281,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, s := range l.submits {
-		s.done <- errStopped()
+		s.done <- l.refusal(s.spec.ID, errStopped())
 	}
 	for _, c := range l.cancels {
 		c.done <- errStopped()
