Take out dead state and copies that reading the change showed

- one function reads a refusal's reason, one orders hosts by power, one copies the peers, one wakes those who wait for an owner, one adds a worker not fenced yet; one type for an operator's key
- the question for advice is chosen in three short functions instead of one long one with its cases twice; a plan that has found every desk taken asks no more (each question had built and sorted the list of hosts again)
- a server whose handler is given builds no router; readiness and metrics use the project's server, and its end is logged instead of swallowed
- fields and parameters that nothing reads are gone No decision changes.

--- a/internal/base/httpd/server.go
+++ b/internal/base/httpd/server.go
@@ -54,6 +54,27 @@
 // Listen opens the listener and builds the routes. Serve has to follow.
 func Listen(cfg Config) (s *Server, err error) {
 	defer fault.Note(&err, "listen on %q", cfg.Addr)
+	if cfg.Handler == nil {
+		if cfg.Handler, err = router(cfg); err != nil {
+			return nil, err
+		}
+	}
+	ln, err := net.Listen("tcp", cfg.Addr)
+	if err != nil {
+		return nil, merry.Wrap(err)
+	}
+	return &Server{
+		ln: ln,
+		http: &http.Server{
+			Handler:           cfg.Handler,
+			ReadHeaderTimeout: readHeaderTimeout,
+			MaxHeaderBytes:    maxHeaderBytes,
+		},
+	}, nil
+}
+
+// router returns the base library's router with the routes of cfg.
+func router(cfg Config) (http.Handler, error) {
 	var rc rest.RestConf
 	if err := conf.FillDefault(&rc); err != nil {
 		return nil, merry.Wrap(err)
@@ -73,21 +94,7 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	if cfg.Handler == nil {
-		cfg.Handler = http.HandlerFunc(serverless.Serve)
-	}
-	ln, err := net.Listen("tcp", cfg.Addr)
-	if err != nil {
-		return nil, merry.Wrap(err)
-	}
-	return &Server{
-		ln: ln,
-		http: &http.Server{
-			Handler:           cfg.Handler,
-			ReadHeaderTimeout: readHeaderTimeout,
-			MaxHeaderBytes:    maxHeaderBytes,
-		},
-	}, nil
+	return http.HandlerFunc(serverless.Serve), nil
 }
 
 func notFound(w http.ResponseWriter, r *http.Request) {
--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -26,15 +26,16 @@
 type ratio struct{ mean float64 }
 
 const (
-	firstRatio  = 0.4 // before anything is known about a queue
-	ratioWeight = 0.1 // of a new answer in the mean
-	askMargin   = 1.3 // workers asked, against those needed by the mean
-	leastAsk    = 4   // fewer cost nearly as much, and often allow too few
-	mostAsk     = 100 // the service's bound for one question
-	retryAskMs  = 100 // pause after a question that brought too little
-	ticketEdge  = 80  // ms for a start to arrive before its ticket expires
-	dearAskMs   = 200 // questions with a base cost above this ask for all workers at once
-	dearAskMost = 32  // workers in one dear question
+	leastRatio  = 0.05 // keeps one bad streak from asking for everybody
+	firstRatio  = 0.4  // before anything is known about a queue
+	ratioWeight = 0.1  // of a new answer in the mean
+	askMargin   = 1.3  // workers asked, against those needed by the mean
+	leastAsk    = 4    // fewer cost nearly as much, and often allow too few
+	mostAsk     = 100  // the service's bound for one question
+	retryAskMs  = 100  // pause after a question that brought too little
+	ticketEdge  = 80   // ms for a start to arrive before its ticket expires
+	dearAskMs   = 200  // questions with a base cost above this ask for all workers at once
+	dearAskMost = 32   // workers in one dear question
 )
 
 // Want is a question for the advice service.
@@ -84,110 +85,97 @@
 	return g.ticket, true
 }
 
+// candidate is a worker about which a question could be asked.
+type candidate struct {
+	id    string
+	slots int // tasks of the part for which it has room
+	slow  int // its class of speed
+}
+
+// byPromise orders candidates: those with room, fast ones, those with most room.
+func byPromise(l []candidate) {
+	sort.Slice(l, func(a, b int) bool {
+		if room := l[a].slots > 0; room != (l[b].slots > 0) {
+			return room
+		}
+		if l[a].slow != l[b].slow {
+			return l[a].slow < l[b].slow
+		}
+		if l[a].slots != l[b].slots {
+			return l[a].slots > l[b].slots
+		}
+		return l[a].id < l[b].id
+	})
+}
+
 // want returns the question whose answer the part needs next, if any: for new
-// tickets where enough allowed workers have room, otherwise about workers that
-// nobody has asked about yet.
+// tickets where enough allowed workers have room, or nobody is left to ask about;
+// otherwise about workers that nobody has asked about yet.
 func (p *Planner) want(pt *part, need int, now Instant) (Want, bool) {
 	q := p.view.Queues[pt.job.Spec.Queue]
 	if q.Advice == nil || pt.advice.asked || now.Ms < pt.advice.askMs {
 		return Want{}, false
 	}
-	type candidate struct {
-		id    string
-		slots int
-		slow  int
+	stale, unknown, have := p.asking(pt, need, now)
+	ask := stale
+	if len(unknown) > 0 && (have < need || len(stale) == 0) {
+		ask = p.pick(q, need-have, unknown)
+	}
+	if len(ask) == 0 {
+		return Want{}, false
+	}
+	byPromise(ask)
+	var ids []string
+	for _, c := range ask[:min(len(ask), mostAsk)] {
+		ids = append(ids, c.id)
 	}
-	var stale, unknown []candidate
-	have := 0
+	cost := q.Advice.BaseMs + q.Advice.WorkerMs*float64(len(ids))
+	return Want{Part: pt.key(), Step: pt.name(), Workers: ids, CostMs: cost}, true
+}
+
+// asking returns the workers whose tickets have expired, those that nobody has
+// asked about, and how many tasks the allowed ones have room for.
+func (p *Planner) asking(pt *part, need int, now Instant) (stale, unknown []candidate, have int) {
 	for id, w := range p.workers {
 		if !p.usable(w, pt, now) {
 			continue
 		}
-		n := p.roomFor(pt, w, need, now)
+		c := candidate{id, p.roomFor(pt, w, need, now), p.learned.slowness(id)}
 		g, asked := pt.advice.grants[id]
 		switch {
 		case !asked:
 			if slots(w.Capacity, pt.spec().charge(), 1) > 0 {
-				unknown = append(unknown, candidate{id, n, p.learned.slowness(id)})
+				unknown = append(unknown, c)
 			}
-		case g.allowed && n > 0:
-			have += n
+		case g.allowed && c.slots > 0:
+			have += c.slots
 			if _, ok := p.ticket(w, pt, now); !ok {
-				stale = append(stale, candidate{id, n, p.learned.slowness(id)})
-			}
-		}
-	}
-	order := func(l []candidate) {
-		sort.Slice(l, func(a, b int) bool {
-			if idle := l[a].slots > 0; idle != (l[b].slots > 0) {
-				return idle
+				stale = append(stale, c)
 			}
-			if l[a].slow != l[b].slow {
-				return l[a].slow < l[b].slow
-			}
-			if l[a].slots != l[b].slots {
-				return l[a].slots > l[b].slots
-			}
-			return l[a].id < l[b].id
-		})
-	}
-	var ids []string
-	switch {
-	case have >= need && len(stale) > 0:
-		order(stale)
-		for _, c := range stale {
-			ids = append(ids, c.id)
 		}
-	case len(unknown) > 0:
-		order(unknown)
-		ids = p.pick(pt, q, need-have, func(i int) (string, int, bool) {
-			if i >= len(unknown) {
-				return "", 0, false
-			}
-			return unknown[i].id, unknown[i].slots, true
-		})
-	case len(stale) > 0:
-		order(stale)
-		for _, c := range stale {
-			ids = append(ids, c.id)
-		}
-	default:
-		return Want{}, false
-	}
-	if len(ids) > mostAsk {
-		ids = ids[:mostAsk]
 	}
-	cost := q.Advice.BaseMs + q.Advice.WorkerMs*float64(len(ids))
-	return Want{Part: pt.key(), Step: pt.name(), Workers: ids, CostMs: cost}, true
+	return stale, unknown, have
 }
 
-// pick takes as many unknown workers as the need makes likely to suffice.
-func (p *Planner) pick(pt *part, q Queue, need int, next func(int) (string, int, bool)) []string {
+// pick takes as many of the workers as the need makes likely to suffice. A dear
+// question takes as many as it may, since another one would cost nearly as much.
+func (p *Planner) pick(q Queue, need int, unknown []candidate) []candidate {
+	byPromise(unknown)
+	if q.Advice.BaseMs >= dearAskMs {
+		return unknown[:min(len(unknown), dearAskMost)]
+	}
 	share := firstRatio
 	if r := p.good[q.Name]; r != nil {
-		share = max(r.mean, 0.05)
+		share = max(r.mean, leastRatio)
 	}
-	most := mostAsk
-	if q.Advice.BaseMs >= dearAskMs {
-		most = dearAskMost
-	}
-	var ids []string
 	expected := 0.0
-	for i := 0; len(ids) < most; i++ {
-		id, n, ok := next(i)
-		if !ok {
-			break
-		}
-		if len(ids) >= leastAsk && expected >= askMargin*float64(need) && q.Advice.BaseMs < dearAskMs {
-			break
-		}
-		if n == 0 && len(ids) >= leastAsk && q.Advice.BaseMs < dearAskMs && expected > 0 {
-			break
+	for i, c := range unknown {
+		if i >= leastAsk && (expected >= askMargin*float64(need) || c.slots == 0 && expected > 0) {
+			return unknown[:i]
 		}
-		ids = append(ids, id)
-		expected += share * float64(n)
+		expected += share * float64(c.slots)
 	}
-	return ids
+	return unknown
 }
 
 // Advised takes the answer to a question. With ok false nothing was learned.
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -26,6 +26,7 @@
 	Wants  []Want
 
 	desks Desks
+	full  bool // no desk was free; none will be before the next plan
 }
 
 // mostPlanned bounds the starts of one plan, so that one append carries them.
@@ -68,12 +69,12 @@
 		return
 	}
 	sites := p.sites(pt, len(idle), now)
-	if pt.wholeGang() && len(sites) < len(idle) || len(sites) == 0 {
+	if pt.spec().Gang && len(sites) < len(idle) || len(sites) == 0 {
 		p.ask(pt, len(idle), plan, now)
 		return
 	}
 	run := 0
-	if pt.wholeGang() {
+	if pt.spec().Gang {
 		run = gangRun(pt.tasks())
 	}
 	for n, w := range sites {
@@ -83,9 +84,6 @@
 		p.ask(pt, len(idle)-len(sites), plan, now)
 		return
 	}
-	if len(idle) == pt.spec().Count || pt.wholeGang() {
-		delete(p.waiting, pt.key())
-	}
 	p.refresh(pt.job, now)
 }
 
@@ -107,7 +105,8 @@
 // asked now rests.
 func (p *Planner) ask(pt *part, need int, plan *Plan, now Instant) {
 	p.rest(pt, now)
-	if !plan.desks.Idle() {
+	plan.full = plan.full || !plan.desks.Idle()
+	if plan.full {
 		return
 	}
 	w, ok := p.want(pt, need, now)
@@ -131,7 +130,7 @@
 	size := pt.spec().charge()
 	room := unlimited(l.Max).Minus(p.used[spec.Team])
 	n := slots(room, size, len(idle))
-	if pt.wholeGang() && n < len(idle) {
+	if pt.spec().Gang && n < len(idle) {
 		return nil
 	}
 	return idle[:n]
@@ -166,8 +165,8 @@
 }
 
 // sites chooses a worker for each of up to n tasks: near the data, not slower
-// than others, and the fullest first, so that wide tasks find room elsewhere. A gang that has to share a rack gets one
-// rack or nothing.
+// than others, and the fullest first, so that wide tasks find room elsewhere. A
+// gang that runs slower on several racks gets one rack, if one has the room.
 func (p *Planner) sites(pt *part, n int, now Instant) []*Worker {
 	s := pt.spec()
 	var list []site
@@ -278,7 +277,7 @@
 // probes returns how many tasks a distrusted worker may be tried with: one at a
 // time, and none of a gang.
 func (p *Planner) probes(pt *part, w *Worker) int {
-	if pt.wholeGang() {
+	if pt.spec().Gang {
 		return 0
 	}
 	return 1 - len(w.runs)
@@ -317,7 +316,7 @@
 			continue
 		}
 		pt := p.parts[s.part]
-		if bad[s.part] && (pt == nil || pt.wholeGang() || !p.sendable(s, now)) {
+		if bad[s.part] && (pt == nil || pt.spec().Gang || !p.sendable(s, now)) {
 			p.release(w, s.Ref)
 			p.requeue(s.Ref, s.Run, now)
 			continue
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -80,12 +80,11 @@
 	failRun int   // run of a gang whose failure has been counted
 }
 
-func (pt *part) spec() Step      { return pt.job.Spec.Steps[pt.step] }
-func (pt *part) tasks() []Task   { return pt.job.stepTasks(pt.occ, pt.step) }
-func (pt *part) ref(i int) Ref   { return Ref{Job: pt.job.Spec.ID, Occ: pt.occ, Step: pt.step, Index: i} }
-func (pt *part) key() partKey    { return partKey{pt.job.Spec.ID, pt.occ, pt.step} }
-func (pt *part) wholeGang() bool { return pt.spec().Gang }
-func (pt *part) name() string    { return pt.ref(0).StepName() }
+func (pt *part) spec() Step    { return pt.job.Spec.Steps[pt.step] }
+func (pt *part) tasks() []Task { return pt.job.stepTasks(pt.occ, pt.step) }
+func (pt *part) ref(i int) Ref { return Ref{Job: pt.job.Spec.ID, Occ: pt.occ, Step: pt.step, Index: i} }
+func (pt *part) key() partKey  { return partKey{pt.job.Spec.ID, pt.occ, pt.step} }
+func (pt *part) name() string  { return pt.ref(0).StepName() }
 
 type partKey struct {
 	job  string
@@ -155,9 +154,7 @@
 				}
 				w := p.workers[t.Worker]
 				if w == nil {
-					w = newWorker(WorkerInfo{ID: t.Worker, Born: t.Born})
-					w.sureMs = now.Ms + p.cfg.SilenceMs + p.leaseBound()
-					p.workers[t.Worker] = w
+					w = p.addWorker(WorkerInfo{ID: t.Worker, Born: t.Born}, now)
 				}
 				p.book(w, &booking{
 					ref: Ref{j.Spec.ID, occ, step, i}, run: t.Run, size: s.charge(), team: j.Spec.Team,
@@ -168,9 +165,21 @@
 	}
 }
 
+// addWorker adds a worker that has not been fenced yet: an earlier owner may go
+// on renewing its lease for a while.
+func (p *Planner) addWorker(info WorkerInfo, now Instant) *Worker {
+	w := newWorker(info)
+	w.sureMs = now.Ms + p.cfg.SilenceMs + p.leaseBound()
+	p.workers[info.ID] = w
+	return w
+}
+
 // leaseBound is how long after a renewal was sent its lease may last.
 func (p *Planner) leaseBound() int64 { return bound(p.cfg.LeaseMs) }
 
+// longestBound is how long the longest lease that a worker grants may last.
+func (p *Planner) longestBound() int64 { return bound(max(p.cfg.LeaseMaxMs, p.cfg.LeaseMs)) }
+
 // bound is how long a lease of ms on a worker's clock may last on ours.
 func bound(ms int64) int64 { return ms + int64(float64(ms)*clockDrift) + leaseMarginMs }
 
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -46,7 +46,7 @@
 		return
 	case StartUnknown:
 		p.stop(w, s.Ref, s.Run)
-		p.breakGang(s.Ref, now)
+		p.breakGang(s.Ref)
 		return
 	case StartNoTicket:
 		if pt := p.parts[s.part]; pt != nil {
@@ -61,11 +61,11 @@
 	}
 	p.release(w, s.Ref)
 	p.requeue(s.Ref, s.Run, now)
-	p.breakGang(s.Ref, now)
+	p.breakGang(s.Ref)
 }
 
 // breakGang stops the other members of a gang of which one did not start.
-func (p *Planner) breakGang(r Ref, now Instant) {
+func (p *Planner) breakGang(r Ref) {
 	j := p.state.Jobs[r.Job]
 	if j == nil || !j.Spec.Steps[r.Step].Gang {
 		return
@@ -93,9 +93,7 @@
 func (p *Planner) SetWorker(info WorkerInfo, now Instant) {
 	w := p.workers[info.ID]
 	if w == nil {
-		w = newWorker(info)
-		w.sureMs = now.Ms + p.cfg.SilenceMs + p.leaseBound()
-		p.workers[info.ID] = w
+		w = p.addWorker(info, now)
 	}
 	born := w.Born
 	if born != 0 && info.Born > born {
@@ -149,7 +147,7 @@
 // clock has started anew, so a lease that was reckoned by the old clock may be
 // the longest that it grants.
 func (p *Planner) reborn(w *Worker, born int64, now Instant) {
-	w.sureMs = max(w.sureMs, now.Ms+bound(max(p.cfg.LeaseMaxMs, p.cfg.LeaseMs)))
+	w.sureMs = max(w.sureMs, now.Ms+p.longestBound())
 	w.Born, w.seen, w.stored, w.listed = born, 0, 0, false
 	p.loseAll(w, now, func(*booking) bool { return true })
 }
@@ -162,7 +160,7 @@
 		}
 		p.release(w, ref)
 		p.requeue(ref, b.run, now)
-		p.breakGang(ref, now)
+		p.breakGang(ref)
 		any = true
 	}
 	return any
@@ -178,7 +176,7 @@
 
 // Unanswered takes note of a call without an answer. It reports whether the
 // worker had answered the one before.
-func (p *Planner) Unanswered(id string, now Instant) (lostContact bool) {
+func (p *Planner) Unanswered(id string) (lostContact bool) {
 	w := p.workers[id]
 	if w == nil {
 		return false
@@ -237,7 +235,7 @@
 	if !w.listed {
 		// Fenced: an earlier owner renews no more, but may have reckoned by the
 		// clock of an earlier incarnation.
-		w.sureMs = now.Ms + bound(max(p.cfg.LeaseMaxMs, p.cfg.LeaseMs))
+		w.sureMs = now.Ms + p.longestBound()
 	}
 	w.listed, w.contact = true, true
 	for _, f := range l.Finished {
@@ -282,7 +280,7 @@
 		case phaseAdopted, phaseDenied:
 			p.release(w, ref)
 			p.requeue(ref, b.run, now)
-			p.breakGang(ref, now)
+			p.breakGang(ref)
 		case phaseUp:
 			p.stop(w, ref, b.run)
 		}
@@ -378,7 +376,7 @@
 		p.fail(j, ref, t, f, now)
 	default:
 		t.State = Waiting
-		p.breakGang(ref, now)
+		p.breakGang(ref)
 	}
 }
 
@@ -394,7 +392,7 @@
 			return
 		}
 		pt.failRun = f.Run
-		p.breakGang(ref, now)
+		p.breakGang(ref)
 	}
 	counted.Fails++
 	attempts := p.view.Queues[j.Spec.Queue].Attempts
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -229,7 +229,7 @@
 		ref, _ := ParseRef(f[2])
 		s.p.StopDenied(Stop{Worker: f[1], Ref: ref, Run: int(num(f[3]))}, s.now)
 	case "silent":
-		s.p.Unanswered(f[1], s.now)
+		s.p.Unanswered(f[1])
 	case "renew":
 		s.p.Renewing(f[1], s.now)
 	case "list":
--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -156,15 +156,17 @@
 		return false
 	}
 	now := h.clock.Now()
-	c := contest{self: h.addr, power: h.cfg.Power, now: now, silent: now.Sub(h.own.heard), invited: h.invited, grows: now.Sub(h.replica.grew) < 2*replicaEvery+claimStagger}
+	c := contest{
+		self: h.addr, power: h.cfg.Power, now: now, silent: now.Sub(h.own.heard), invited: h.invited,
+		grows: now.Sub(h.replica.grew) < 2*replicaEvery+claimStagger,
+	}
 	if h.own.addr == "" || h.own.addr == h.addr {
 		c.silent += suspectAfter - firstPings // nobody to wait for
 	}
-	for _, p := range h.peers {
-		if p.heard.IsZero() {
-			continue
+	for _, p := range h.peerList() {
+		if !p.heard.IsZero() {
+			c.peers = append(c.peers, p)
 		}
-		c.peers = append(c.peers, *p)
 	}
 	h.invited = false
 	return c.shouldClaim()
@@ -182,10 +184,7 @@
 		h.mu.Unlock()
 		return
 	}
-	var peers []peer
-	for _, p := range h.peers {
-		peers = append(peers, *p)
-	}
+	peers := h.peerList()
 	h.mu.Unlock()
 	if addr, ok := successor(h.cfg.Power, peers, now); ok {
 		h.transfer(ctx, []string{addr}, "a stronger host lives")
@@ -267,8 +266,7 @@
 			h.lead = nil
 			h.replica = newReplica()
 			h.own.heard = h.clock.Now() // the host that has claimed is heard soon
-			close(h.changed)
-			h.changed = make(chan struct{})
+			h.ownerChanged()
 		}
 	}()
 }
@@ -296,11 +294,7 @@
 func (h *Host) heirs() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	var peers []peer
-	for _, p := range h.peers {
-		peers = append(peers, *p)
-	}
-	return heirs(peers, h.clock.Now())
+	return heirs(h.peerList(), h.clock.Now())
 }
 
 // transfer ends the ownership and asks the first of the hosts that answers to
--- a/internal/node/gate/cluster_test.go
+++ b/internal/node/gate/cluster_test.go
@@ -147,12 +147,12 @@
 		Store: c.store.For(fmt.Sprint(i)), Workers: workerPorts{c.farm, c.begun}, Adviser: &adviser{}, Codec: testCodec,
 		OperatorTopic: "op", WorkerTopic: "workers", JobTopic: "jobs", HostTopic: "hosts",
 		ParseSite: func(b []byte) (s ports.Site, err error) { return s, json.Unmarshal(b, &s) },
-		ParseOperator: func(key string) OperatorRecord {
+		ParseOperator: func(key string) ports.OperatorKey {
 			az, ok := strings.CutPrefix(key, "out/")
 			if !ok {
 				az = ""
 			}
-			return OperatorRecord{Config: key == "config", Az: az}
+			return ports.OperatorKey{Config: key == "config", Az: az}
 		},
 		ParseWorker: func(_ string, b []byte) (w sched.WorkerInfo, err error) { return w, json.Unmarshal(b, &w) },
 		WorkerID:    func(key string) string { return key },
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -73,7 +73,7 @@
 	JobTopic      string
 	HostTopic     string
 	ParseSite     func([]byte) (ports.Site, error)
-	ParseOperator func(key string) OperatorRecord
+	ParseOperator func(key string) ports.OperatorKey
 	ParseWorker   func(key string, value []byte) (sched.WorkerInfo, error)
 	WorkerID      func(key string) string
 
@@ -94,7 +94,7 @@
 	pool    *frame.Pool
 	frames  *frame.Server
 	front   *httpd.Server
-	checks  []*http.Server
+	checks  []*httpd.Server
 	desks   *desks
 	reg     *prometheus.Registry
 	metrics *metrics
@@ -107,7 +107,6 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	own     ownership
-	started time.Time
 	since   time.Time // when this host became the owner
 	leaving bool
 	invited bool
@@ -126,9 +125,9 @@
 		cfg: cfg, log: cfg.Logger.WithName("gate").WithValues("host", cfg.Host), clock: cfg.Clock,
 		addr: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort)), site: newSiteState(),
 		pool: frame.NewPool(frame.PoolConfig{}), peers: map[string]*peer{}, changed: make(chan struct{}),
-		started: cfg.Clock.Now(), replica: newReplica(), reg: prometheus.NewRegistry(),
+		replica: newReplica(), reg: prometheus.NewRegistry(),
 	}
-	h.own.heard = h.started
+	h.own.heard = cfg.Clock.Now()
 	h.store = &relayStore{direct: cfg.Store, host: h}
 	h.desks = &desks{host: h, busy: map[string]bool{}, after: map[string]time.Time{}}
 	h.metrics = newMetrics(h.reg)
@@ -166,7 +165,7 @@
 	if err != nil {
 		return err
 	}
-	go func() { _ = h.front.Serve() }()
+	h.serve(h.front)
 	ready := http.NewServeMux()
 	ready.HandleFunc(h.cfg.ReadyPath, h.serveReady)
 	if err := h.check(h.cfg.Ready, ready); err != nil {
@@ -182,18 +181,25 @@
 }
 
 // check serves a small HTTP API for operators.
-func (h *Host) check(addr string, handler http.Handler) (err error) {
-	defer fault.Note(&err, "listen on %q", addr)
-	ln, err := net.Listen("tcp", addr)
+func (h *Host) check(addr string, handler http.Handler) error {
+	s, err := httpd.Listen(httpd.Config{Addr: addr, Handler: handler})
 	if err != nil {
 		return err
 	}
-	s := &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}
 	h.checks = append(h.checks, s)
-	go func() { _ = s.Serve(ln) }()
+	h.serve(s)
 	return nil
 }
 
+// serve answers requests in the background until the server is closed.
+func (h *Host) serve(s *httpd.Server) {
+	go func() {
+		if err := s.Serve(); err != nil {
+			h.log.Error(err, "server ended", "addr", s.Addr())
+		}
+	}()
+}
+
 // serveReady answers the balancer: a host is ready that knows the
 // configuration and reaches the owner.
 func (h *Host) serveReady(w http.ResponseWriter, _ *http.Request) {
@@ -215,14 +221,14 @@
 	return !h.leaving && (h.lead != nil || h.own.addr != "" && h.clock.Now().Sub(h.own.heard) < readyAge)
 }
 
-// Reload takes note of new settings. Addresses and roles of a running process
-// do not change; what may change is how long ended jobs are kept.
+// Reload takes note of new settings. None of them changes while the process
+// runs; what the operators change comes through the store.
 func (h *Host) Reload(cfg Config) {
 	if cfg.Listen != h.cfg.Listen || cfg.PeerPort != h.cfg.PeerPort {
 		h.log.Info("settings not taken up", "reason", "listen addresses change only with a restart", "listen", cfg.Listen, "peerPort", cfg.PeerPort)
 		return
 	}
-	h.log.Info("settings reloaded")
+	h.log.Info("settings read again, nothing to take up")
 }
 
 // Stop ends the host gracefully: it stops being ready, hands the jobs over,
--- a/internal/node/gate/member.go
+++ b/internal/node/gate/member.go
@@ -130,11 +130,11 @@
 // self returns this host's heartbeat.
 func (h *Host) self() ping {
 	site := h.site.offset()
-	storeOK := h.store.ok(h.clock.Now())
+	storeOK := h.store.ok()
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	p := ping{
-		Addr: h.addr, Az: h.cfg.Az, Host: h.cfg.Host, Leaving: h.leaving, Epoch: h.own.epoch, Owner: h.own.addr,
+		Addr: h.addr, Az: h.cfg.Az, Leaving: h.leaving, Epoch: h.own.epoch, Owner: h.own.addr,
 		OwnerAgeMs: h.clock.Now().Sub(h.own.heard).Milliseconds(), SiteNext: site, StoreOK: storeOK, Power: h.cfg.Power,
 	}
 	if h.lead != nil {
@@ -177,9 +177,8 @@
 		p = &peer{addr: a.Addr, az: a.Az}
 		h.peers[a.Addr] = p
 	}
-	p.power = a.Power
-	p.host, p.heard, p.leaving, p.epoch, p.owner, p.storeOK = a.Host, now, a.Leaving, a.Epoch, a.Owner, a.StoreOK
-	p.heardBy, p.site = time.Duration(a.OwnerAgeMs)*time.Millisecond, a.SiteNext
+	p.power, p.heard, p.leaving, p.owner, p.storeOK = a.Power, now, a.Leaving, a.Owner, a.StoreOK
+	p.heardBy = time.Duration(a.OwnerAgeMs) * time.Millisecond
 	if a.Epoch > h.own.epoch && a.Owner != "" {
 		h.setOwner(a.Epoch, a.Owner)
 	}
@@ -198,9 +197,24 @@
 	if h.lead != nil && addr != h.addr {
 		h.lead.Stop("a peer has claimed a later epoch")
 	}
+	h.ownerChanged()
+	h.log.Info("owner", "epoch", epoch, "addr", addr)
+}
+
+// ownerChanged wakes the requests that wait for an owner. The caller holds the
+// lock.
+func (h *Host) ownerChanged() {
 	close(h.changed)
 	h.changed = make(chan struct{})
-	h.log.Info("owner", "epoch", epoch, "addr", addr)
+}
+
+// peerList returns a copy of the peers. The caller holds the lock.
+func (h *Host) peerList() []peer {
+	list := make([]peer, 0, len(h.peers))
+	for _, p := range h.peers {
+		list = append(list, *p)
+	}
+	return list
 }
 
 // storePeers returns peers that can relay a call to the store, the likeliest
--- a/internal/node/gate/peers.go
+++ b/internal/node/gate/peers.go
@@ -9,14 +9,11 @@
 type peer struct {
 	addr    string
 	az      string
-	host    string
 	heard   time.Time // when it answered last
 	leaving bool
 	power   int64 // millicores
-	epoch   int64
 	owner   string
 	heardBy time.Duration // age of its contact with the owner, when it answered
-	site    int64
 	storeOK bool
 }
 
@@ -86,12 +83,7 @@
 // rankOf returns a host's place among those that could own the jobs, the most
 // powerful first: a small host cannot carry the orders of a large fleet.
 func rankOf(self string, hosts []peer) int {
-	sort.Slice(hosts, func(a, b int) bool {
-		if hosts[a].power != hosts[b].power {
-			return hosts[a].power > hosts[b].power
-		}
-		return hosts[a].addr < hosts[b].addr
-	})
+	byPower(hosts)
 	for i, p := range hosts {
 		if p.addr == self {
 			return i
@@ -100,6 +92,16 @@
 	return len(hosts)
 }
 
+// byPower orders hosts by power, and by address where that is alike.
+func byPower(hosts []peer) {
+	sort.Slice(hosts, func(a, b int) bool {
+		if hosts[a].power != hosts[b].power {
+			return hosts[a].power > hosts[b].power
+		}
+		return hosts[a].addr < hosts[b].addr
+	})
+}
+
 // heirs returns the hosts that could take the jobs over, the most powerful
 // first. A host that is ending itself is none.
 func heirs(peers []peer, now time.Time) (addrs []string) {
@@ -109,7 +111,7 @@
 			list = append(list, p)
 		}
 	}
-	rankOf("", list)
+	byPower(list)
 	for _, p := range list {
 		addrs = append(addrs, p.addr)
 	}
--- a/internal/node/gate/relay.go
+++ b/internal/node/gate/relay.go
@@ -32,7 +32,7 @@
 const relays = 2
 
 // ok reports whether the store has answered this host itself lately.
-func (s *relayStore) ok(now time.Time) bool {
+func (s *relayStore) ok() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return !s.goodAt.IsZero() && !s.badAt.After(s.goodAt)
@@ -63,8 +63,8 @@
 // asked, which a peer would get too.
 func answered(err error) bool {
 	var gone *ports.GoneError
-	var refused *ports.RefusedError
-	return errors.As(err, &gone) || errors.As(err, &refused) && refused.Reason != ports.RefusedBusy && refused.Reason != ports.RefusedOther
+	reason := ports.ReasonOf(err)
+	return errors.As(err, &gone) || reason != "" && reason != ports.RefusedBusy && reason != ports.RefusedOther
 }
 
 // skipDirect reports whether the direct way has failed just now.
--- a/internal/node/gate/site.go
+++ b/internal/node/gate/site.go
@@ -14,28 +14,20 @@
 	"lagooncourse/internal/plat/ports"
 )
 
-// OperatorRecord is what a record of the operators' topic says.
-type OperatorRecord struct {
-	Config bool
-	Az     string // availability zone that is out of service
-	Wave   string
-}
-
 // siteState is the configuration and the availability zones out of service,
 // as the operators' topic says. It never goes back to an older version.
 type siteState struct {
-	mu      sync.Mutex
-	newest  map[string]ports.Record // by key
-	next    int64
-	site    ports.Site
-	closed  map[string]bool
-	teams   map[string]string // key -> team
-	heard   time.Time         // when the topic was read last
-	changed chan struct{}
+	mu     sync.Mutex
+	newest map[string]ports.Record // by key
+	next   int64
+	site   ports.Site
+	closed map[string]bool
+	teams  map[string]string // key -> team
+	heard  time.Time         // when the topic was read last
 }
 
 func newSiteState() *siteState {
-	return &siteState{newest: map[string]ports.Record{}, closed: map[string]bool{}, teams: map[string]string{}, changed: make(chan struct{})}
+	return &siteState{newest: map[string]ports.Record{}, closed: map[string]bool{}, teams: map[string]string{}}
 }
 
 // Timing of the operators' topic.
@@ -123,7 +115,7 @@
 		return h.readWholeSite(ctx)
 	}
 	wait := sitePoll
-	if !h.store.ok(h.clock.Now()) {
+	if !h.store.ok() {
 		wait = 0
 	}
 	rctx, cancel := context.WithTimeout(ctx, wait+siteTimeout)
--- a/internal/node/gate/wire.go
+++ b/internal/node/gate/wire.go
@@ -21,7 +21,6 @@
 type ping struct {
 	Addr       string // of the sender, for frames
 	Az         string
-	Host       string
 	Leaving    bool
 	Epoch      int64  // highest ownership that the sender knows
 	Owner      string // address of its holder; empty if unknown
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -99,8 +99,7 @@
 	stored    chan struct{} // closed and replaced after each append
 	stuckFrom time.Time     // since when an append has been without an answer
 	confirmed time.Time     // departure of the last append that was stored
-	view      sched.View
-	explained time.Time // when waiting parts were explained last
+	explained time.Time     // when waiting parts were explained last
 }
 
 type workerClock struct {
@@ -126,7 +125,7 @@
 		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), kick: make(chan struct{}, 1), write: make(chan struct{}, 1),
 		log:    cfg.Logger.WithName("lead").WithValues("epoch", cfg.Claim.Epoch),
 		clocks: map[string]workerClock{}, holds: map[string]context.CancelFunc{}, stops: map[sched.Stop]bool{},
-		stored: make(chan struct{}), confirmed: cfg.Clock.Now(), seq: 1, view: cfg.View,
+		stored: make(chan struct{}), confirmed: cfg.Clock.Now(), seq: 1,
 	}
 	l.plan = sched.NewPlanner(sched.Config{
 		State: cfg.State, SilenceMs: silenceMs, LeaseMs: l.lease(), LeaseMaxMs: cfg.LeaseMax, KeepMs: cfg.KeepMs,
@@ -190,7 +189,6 @@
 // SetView takes a new configuration.
 func (l *Lead) SetView(v sched.View) {
 	l.mu.Lock()
-	l.view = v
 	l.plan.SetView(v)
 	l.mu.Unlock()
 	l.wake()
--- a/internal/node/lead/metrics.go
+++ b/internal/node/lead/metrics.go
@@ -1,7 +1,6 @@
 package lead
 
 import (
-	"errors"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -76,11 +75,10 @@
 }
 
 func outcomeLabel(err error) string {
-	var refused *ports.RefusedError
 	switch {
 	case err == nil:
 		return "ok"
-	case errors.As(err, &refused):
+	case ports.ReasonOf(err) != "":
 		return "refused"
 	case fault.RanOf(err) == fault.NotRun:
 		return "refused"
--- a/internal/node/lead/order.go
+++ b/internal/node/lead/order.go
@@ -88,8 +88,7 @@
 
 // checkFence ends the ownership when a worker has seen a later one.
 func (l *Lead) checkFence(err error) {
-	var refused *ports.RefusedError
-	if errors.As(err, &refused) && refused.Reason == ports.RefusedFence {
+	if ports.ReasonOf(err) == ports.RefusedFence {
 		l.Stop("a worker has seen a later owner")
 	}
 }
@@ -100,8 +99,8 @@
 	if err == nil {
 		return sched.StartUp
 	}
-	var refused *ports.RefusedError
-	if !errors.As(err, &refused) {
+	reason := ports.ReasonOf(err)
+	if reason == "" {
 		if fault.RanOf(err) == fault.NotRun && try == 0 {
 			return sched.StartRefused
 		}
@@ -110,7 +109,7 @@
 	if try > 0 {
 		return sched.StartUnknown
 	}
-	switch refused.Reason {
+	switch reason {
 	case ports.RefusedTicket:
 		return sched.StartNoTicket
 	case ports.RefusedRoom:
@@ -160,15 +159,14 @@
 // stopSettled takes the answer to a stop. A refusal other than by load says
 // that the run is not there and will not be.
 func (l *Lead) stopSettled(s sched.Stop, err error) bool {
-	var refused *ports.RefusedError
-	switch {
+	switch reason := ports.ReasonOf(err); {
 	case err == nil:
-	case !errors.As(err, &refused) || refused.Reason == ports.RefusedBusy:
+	case reason == "" || reason == ports.RefusedBusy:
 		return false
-	case refused.Reason == ports.RefusedFence:
+	case reason == ports.RefusedFence:
 		l.checkFence(err)
 		return true
-	case refused.Reason == ports.RefusedReborn:
+	case reason == ports.RefusedReborn:
 		return true
 	}
 	l.mu.Lock()
@@ -270,7 +268,7 @@
 
 // holdFailed takes note of a call without lists. The caller holds the lock.
 func (l *Lead) holdFailed(info sched.WorkerInfo, err error) {
-	if l.plan.Unanswered(info.ID, l.now()) {
+	if l.plan.Unanswered(info.ID) {
 		l.log.Info("worker does not answer", "worker", info.ID, "err", err.Error())
 	}
 	delete(l.clocks, info.ID)
--- a/internal/node/lead/play_test.go
+++ b/internal/node/lead/play_test.go
@@ -250,7 +250,7 @@
 		}
 		h, err := p.farm.HoldAt(ports.HoldRequest{Peer: ports.Peer{ID: info.ID}, Token: o.epoch, LeaseEnd: end, Seen: seen}, p.nowMs)
 		if err != nil {
-			o.plan.Unanswered(info.ID, p.now())
+			o.plan.Unanswered(info.ID)
 			delete(o.clocks, info.ID)
 			continue
 		}
--- a/internal/node/lead/write.go
+++ b/internal/node/lead/write.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"lagooncourse/internal/base/clock"
@@ -225,9 +224,8 @@
 		if l.ctx.Err() != nil {
 			return false
 		}
-		var refused *ports.RefusedError
-		if errors.As(err, &refused) && (refused.Reason == ports.RefusedFence || refused.Reason == ports.RefusedSequence) {
-			l.Stop("another owner writes: " + string(refused.Reason))
+		if reason := ports.ReasonOf(err); reason == ports.RefusedFence || reason == ports.RefusedSequence {
+			l.Stop("another owner writes: " + string(reason))
 			return false
 		}
 		l.noteStuck(sent, err, tries)
--- a/internal/plat/ports/ports.go
+++ b/internal/plat/ports/ports.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"lagooncourse/internal/cell/jobs"
@@ -63,6 +64,15 @@
 // Error returns the reason and the status.
 func (e *RefusedError) Error() string { return "refused: " + string(e.Reason) }
 
+// ReasonOf returns why the other side refused, "" if err is no refusal.
+func ReasonOf(err error) Refusal {
+	var e *RefusedError
+	if errors.As(err, &e) {
+		return e.Reason
+	}
+	return ""
+}
+
 // Page is a part of a topic.
 type Page struct {
 	Records []Record
@@ -191,6 +201,13 @@
 	Limits  Limits
 }
 
+// OperatorKey says what a key of the operators' topic speaks of.
+type OperatorKey struct {
+	Config bool   // the configuration
+	Az     string // an availability zone that is out of service
+	Wave   string // an upkeep of machines
+}
+
 // Team is a client account.
 type Team struct {
 	Name   string
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -101,11 +101,8 @@
 		OperatorTopic: platform.TopicOperator, WorkerTopic: platform.TopicWorkers,
 		JobTopic: platform.KeyedTopic(jobTopic), HostTopic: platform.KeyedTopic(hostTopic),
 		ParseSite: platform.ParseSite, ParseWorker: platform.ParseWorker, WorkerID: platform.WorkerID,
-		ParseOperator: func(key string) gate.OperatorRecord {
-			k := platform.ParseOperatorKey(key)
-			return gate.OperatorRecord{Config: k.Config, Az: k.Evacuate, Wave: k.Wave}
-		},
-		KeepMs: set.StatusS * 1000, LeaseMax: set.HoldMaxMs,
+		ParseOperator: platform.ParseOperatorKey,
+		KeepMs:        set.StatusS * 1000, LeaseMax: set.HoldMaxMs,
 		Logger: logs.NewJSON(out, "info"),
 	}
 }
