Let two sides of a healed split find each other again

Cause of TestCutOffHost, red: heartbeats went to live members only. A host that was cut off for longer than the suspicion time and is the one that the others were configured to join through knew nobody to ask, and nobody asked it: it stayed cut off for good. Traced by printing the tables: no member heard, nobody picked, for 25 s. It passed where the cut was shorter than the suspicion time, which is why it showed under the race detector beside other work only. Ruled out: freshness bounds, records that peers no longer have. TestHealedSplit failed first.

The new path had the same fault for silences above a minute (TestPingsGoOn failed first): such hosts are now asked every five seconds.

--- a/internal/node/entry/host.go
+++ b/internal/node/entry/host.go
@@ -164,7 +164,6 @@
 
 const (
 	forgetMember  = time.Minute
-	gossipPeers   = 1
 	announcePeers = 8
 	describeEvery = 500 * time.Millisecond
 	gossipTimeout = time.Second
@@ -205,8 +204,8 @@
 	r := newRand()
 	tick(ctx, h.set.Timing.Gossip, func(ctx context.Context) {
 		h.beat()
-		addrs := h.table.Pick(gossipPeers, r, h.clock.Now())
-		if len(addrs) < gossipPeers && len(h.set.Host.Peers) > 0 {
+		addrs := h.table.Partners(r, h.clock.Now())
+		if len(addrs) == 0 && len(h.set.Host.Peers) > 0 {
 			addrs = append(addrs, h.set.Host.Peers[r.IntN(len(h.set.Host.Peers))])
 		}
 		for _, addr := range addrs {
--- a/internal/node/gate/member.go
+++ b/internal/node/gate/member.go
@@ -106,6 +106,10 @@
 // knows who lives before it has to.
 const pingAllEvery = 5
 
+// pingSilentEvery is every how many rounds hosts are asked that have been silent
+// for long: about every five seconds.
+const pingSilentEvery = 25
+
 // pingAddrs returns whom to ask in a round.
 func (h *Host) pingAddrs(round int) []string {
 	h.mu.Lock()
@@ -120,7 +124,7 @@
 	var list []string
 	now := h.clock.Now()
 	for addr, p := range h.peers {
-		if p.heard.IsZero() || now.Sub(p.heard) < forgetPeer {
+		if p.heard.IsZero() || now.Sub(p.heard) < forgetPeer || round%pingSilentEvery == 0 {
 			list = append(list, addr)
 		}
 	}
--- a/internal/node/gate/peers.go
+++ b/internal/node/gate/peers.go
@@ -32,7 +32,7 @@
 	claimStagger = 400 * time.Millisecond // longer than a claim takes
 	ownerFresh   = 700 * time.Millisecond // a peer that has heard the owner since then speaks against a claim
 	aloneAfter   = 2500 * time.Millisecond
-	forgetPeer   = 60 * time.Second
+	forgetPeer   = 60 * time.Second // a host that has been silent for longer is asked less often
 	livePeer     = 900 * time.Millisecond
 	firstPings   = 250 * time.Millisecond // to hear of an owner before the first claim
 )
--- a/internal/node/gate/peers_test.go
+++ b/internal/node/gate/peers_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/base/clock"
 )
 
 func TestShouldClaim(t *testing.T) {
@@ -73,3 +75,21 @@
 	}, now)
 	assert.DeepEqual(t, got, []string{"e", "b", "c"})
 }
+
+// TestPingsGoOn asks hosts that have been silent for long less often, but never
+// stops: two sides of a long partition would not find each other again.
+func TestPingsGoOn(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	now := c.Now()
+	h := &Host{clock: c, peers: map[string]*peer{
+		"new": {addr: "new"}, "live": {addr: "live", heard: now}, "gone": {addr: "gone", heard: now.Add(-2 * forgetPeer)},
+	}}
+	asked := map[string]int{}
+	const rounds = 4 * pingSilentEvery
+	for round := range rounds {
+		for _, addr := range h.pingAddrs(round) {
+			asked[addr]++
+		}
+	}
+	assert.DeepEqual(t, asked, map[string]int{"new": rounds, "live": rounds, "gone": 4})
+}
--- a/internal/node/peers/peers.go
+++ b/internal/node/peers/peers.go
@@ -350,11 +350,30 @@
 
 // Pick returns up to n addresses of random live members other than this host.
 func (t *Table) Pick(n int, r *rand.Rand, now time.Time) []string {
+	return t.pick(n, r, func(s *seen) bool { return t.alive(s, now) })
+}
+
+// silentOdds is one in how many exchanges tries a silent member too.
+const silentOdds = 8
+
+// Partners returns whom to exchange messages with in one round: a live member,
+// and now and then a silent one, always if none is alive. Without it two sides of
+// a split that has healed would never hear of each other.
+func (t *Table) Partners(r *rand.Rand, now time.Time) []string {
+	addrs := t.Pick(1, r, now)
+	if len(addrs) == 0 || r.IntN(silentOdds) == 0 {
+		addrs = append(addrs, t.pick(1, r, func(s *seen) bool { return !t.alive(s, now) })...)
+	}
+	return addrs
+}
+
+// pick returns up to n addresses of random members that match.
+func (t *Table) pick(n int, r *rand.Rand, match func(*seen) bool) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var addrs []string
 	for _, s := range t.members {
-		if t.alive(s, now) {
+		if match(s) {
 			addrs = append(addrs, s.m.Addr)
 		}
 	}
--- a/internal/node/peers/peers_test.go
+++ b/internal/node/peers/peers_test.go
@@ -24,6 +24,7 @@
 	dead   map[int]bool
 	r      *rand.Rand
 	bodies int // descriptions exchanged
+	split  int // hosts below it and the others do not reach each other; 0 for none
 }
 
 func addrOf(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
@@ -48,7 +49,7 @@
 			continue
 		}
 		t.Beat(Report{Member: wire.Member{Groups: t.Self().Groups}}, w.now)
-		addrs := t.Pick(1, w.r, w.now)
+		addrs := t.Partners(w.r, w.now)
 		if len(addrs) == 0 && i > 0 {
 			addrs = []string{addrOf(0)}
 		}
@@ -60,7 +61,7 @@
 
 func (w *net) exchange(t *Table, addr string) {
 	for j, peer := range w.tables {
-		if addrOf(j) != addr || w.dead[j] {
+		if addrOf(j) != addr || w.dead[j] || w.apart(t, peer) {
 			continue
 		}
 		msg := t.Message(addr, w.now)
@@ -70,6 +71,41 @@
 	}
 }
 
+// apart reports whether the two are on different sides of the split.
+func (w *net) apart(a, b *Table) bool {
+	var low, high bool
+	for i, t := range w.tables {
+		if t == a || t == b {
+			low, high = low || i < w.split, high || i >= w.split
+		}
+	}
+	return low && high
+}
+
+// TestHealedSplit cuts some hosts off for longer than the suspicion time. Once
+// the split has healed, both sides find each other again, also when the seed is
+// the one that was cut off. (Seen as TestCutOffHost of package entry.)
+func TestHealedSplit(t *testing.T) {
+	for _, split := range []int{1, 2, 4} {
+		w := newNet(8)
+		for range 20 {
+			w.round()
+		}
+		w.split = split
+		for range 40 {
+			w.round()
+		}
+		assert.Equal(t, len(w.tables[0].Live(w.now)), split)
+		w.split = 0
+		for range 40 {
+			w.round()
+		}
+		for i, tab := range w.tables {
+			assert.Equal(t, len(tab.Live(w.now)), 8, "split %d, host %d", split, i)
+		}
+	}
+}
+
 // TestSpread checks that all hosts hear of one another through one seed, and
 // that nothing but heartbeats is exchanged once they have.
 func TestSpread(t *testing.T) {
