Let only the strongest by the roster read all records at a start

Hosts now write their power beside their entry in the roster, a host that has just begun ranks itself by it, and only the first three read. Reading starts with the newest record of each key, since the history is gone by then.

--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -44,8 +44,14 @@
 
 // replicaLoop keeps the copy warm on the hosts next in line.
 func (h *Host) replicaLoop(ctx context.Context) {
+	begun := h.clock.Now()
+	select {
+	case <-ctx.Done():
+	case <-h.rostered:
+	case <-time.After(firstPings):
+	}
 	for ctx.Err() == nil {
-		if h.followsRecords() {
+		if h.followsRecords(h.clock.Now().Sub(begun) < firstPings) {
 			if err := h.follow(ctx); err != nil {
 				h.log.V(1).Info("records not read", "err", err.Error())
 			}
@@ -54,14 +60,16 @@
 	}
 }
 
-// followsRecords reports whether this host keeps a copy now.
-func (h *Host) followsRecords() bool {
+// followsRecords reports whether this host keeps a copy now. After a loss of
+// power of all hosts, fresh ones go by the roster: if all of them read
+// everything at once, the store takes seconds to serve them.
+func (h *Host) followsRecords(fresh bool) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if h.lead != nil || h.replica.busy {
 		return false
 	}
-	return inLine(peer{addr: h.addr, power: h.cfg.Power}, h.own.addr, h.peerList(), h.clock.Now())
+	return inLine(peer{addr: h.addr, power: h.cfg.Power}, h.own.addr, h.peerList(), fresh, h.clock.Now())
 }
 
 // follow brings the copy up to date. It is a no-op while another call does.
@@ -90,6 +98,11 @@
 
 // read applies records until the end of the topic, or up to the offset to.
 func (h *Host) read(ctx context.Context, r *replica, to int64) error {
+	if r.state.Next == 0 {
+		if err := h.readNewest(ctx, r); err != nil {
+			return err
+		}
+	}
 	for {
 		rctx, cancel := context.WithTimeout(ctx, replicaTimeout)
 		page, err := h.store.Read(rctx, ports.ReadRequest{Topic: h.cfg.JobTopic, From: r.state.Next})
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -102,6 +102,7 @@
 
 	cancel   context.CancelFunc
 	loops    sync.WaitGroup
+	rostered chan struct{} // closed when the other hosts have been read from the store
 	inFlight atomic.Int64
 
 	mu      sync.Mutex
@@ -125,7 +126,7 @@
 		cfg: cfg, log: cfg.Logger.WithName("gate").WithValues("host", cfg.Host), clock: cfg.Clock,
 		addr: net.JoinHostPort(cfg.IP, strconv.Itoa(cfg.PeerPort)), site: newSiteState(),
 		pool: frame.NewPool(frame.PoolConfig{}), peers: map[string]*peer{}, changed: make(chan struct{}),
-		replica: newReplica(), reg: prometheus.NewRegistry(),
+		replica: newReplica(), rostered: make(chan struct{}), reg: prometheus.NewRegistry(),
 	}
 	h.own.heard = cfg.Clock.Now()
 	h.store = &relayStore{direct: cfg.Store, host: h}
--- a/internal/node/gate/member.go
+++ b/internal/node/gate/member.go
@@ -20,13 +20,17 @@
 
 // rosterLoop registers this host in the store and learns of the others.
 func (h *Host) rosterLoop(ctx context.Context) {
-	next, registered := int64(-1), false
+	next, registered, known := int64(-1), false, false
 	for ctx.Err() == nil {
 		if !registered {
-			registered = h.register(ctx, []byte(h.cfg.Az)) == nil
+			registered = h.enlist(ctx) == nil
 		}
 		n, err := h.readRoster(ctx, next)
 		next = n
+		if err == nil && !known {
+			known = true
+			close(h.rostered)
+		}
 		pause := rosterEvery
 		if err != nil || !registered {
 			pause = rosterFirst
@@ -35,6 +39,22 @@
 	}
 }
 
+// rosterEntry is what a host writes about itself.
+type rosterEntry struct {
+	Az    string
+	Power int64 // millicores
+}
+
+// enlist writes this host's entry.
+func (h *Host) enlist(ctx context.Context) error {
+	value, err := frame.Encode(rosterEntry{Az: h.cfg.Az, Power: h.cfg.Power})
+	if err != nil {
+		h.log.Error(err, "roster entry not encoded")
+		return err
+	}
+	return h.register(ctx, value)
+}
+
 // register writes this host's entry; without a value it removes it.
 func (h *Host) register(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, rosterTimeout)
@@ -84,7 +104,12 @@
 		case len(r.Value) == 0:
 			delete(h.peers, r.Key)
 		case h.peers[r.Key] == nil:
-			h.peers[r.Key] = &peer{addr: r.Key, az: string(r.Value)}
+			e, err := frame.Decode[rosterEntry](r.Value)
+			if err != nil {
+				h.log.Info("roster entry ignored", "peer", r.Key, "err", err.Error())
+				continue
+			}
+			h.peers[r.Key] = &peer{addr: r.Key, az: e.Az, power: e.Power}
 		}
 	}
 }
--- a/internal/node/gate/peers.go
+++ b/internal/node/gate/peers.go
@@ -106,20 +106,18 @@
 // where nothing is suspected: two rounds in which all peers are asked.
 const recentPeer = 2 * pingAllEvery * pingEvery
 
-// staying returns the living peers that are not ending.
-func staying(peers []peer, now time.Time) (list []peer) {
-	for _, p := range peers {
-		if !p.leaving && now.Sub(p.heard) < recentPeer {
-			list = append(list, p)
-		}
-	}
-	return list
-}
+// stays reports whether the peer lives and is not ending.
+func (p peer) stays(now time.Time) bool { return !p.leaving && now.Sub(p.heard) < recentPeer }
 
 // heirs returns the hosts that could take the jobs over, the most powerful
 // first. A host that is ending itself is none.
 func heirs(peers []peer, now time.Time) (addrs []string) {
-	list := staying(peers, now)
+	var list []peer
+	for _, p := range peers {
+		if p.stays(now) {
+			list = append(list, p)
+		}
+	}
 	byPower(list)
 	for _, p := range list {
 		addrs = append(addrs, p.addr)
@@ -134,11 +132,12 @@
 
 // inLine reports whether a host is among those that would take over next. Only
 // they follow the records: on a link of 10 Mbit/s, reading them twice a second
-// holds up everything else for 140 ms.
-func inLine(self peer, owner string, peers []peer, now time.Time) bool {
+// holds up everything else for 140 ms. With fresh set this host has only begun,
+// and peers that it has not asked yet count as living.
+func inLine(self peer, owner string, peers []peer, fresh bool, now time.Time) bool {
 	list := []peer{self}
-	for _, p := range staying(peers, now) {
-		if p.addr != owner {
+	for _, p := range peers {
+		if p.addr != owner && (p.stays(now) || fresh && p.heard.IsZero()) {
 			list = append(list, p)
 		}
 	}
--- a/internal/node/gate/peers_test.go
+++ b/internal/node/gate/peers_test.go
@@ -97,13 +97,19 @@
 	}
 	var copies []string
 	for _, p := range peers {
-		if p.addr != "o" && p.addr != "gone" && inLine(p, "o", others(p.addr), now) {
+		if p.addr != "o" && p.addr != "gone" && inLine(p, "o", others(p.addr), false, now) {
 			copies = append(copies, p.addr)
 		}
 	}
 	assert.DeepEqual(t, copies, []string{"a", "b", "c"})
 	alone := []peer{{addr: "a", heard: now.Add(-time.Minute), power: 800}}
-	assert.Assert(t, inLine(peer{addr: "s1", power: 192}, "a", alone, now), "a host that hears nobody")
+	assert.Assert(t, inLine(peer{addr: "s1", power: 192}, "a", alone, false, now), "a host that hears nobody")
+	var unheard []peer
+	for _, a := range []string{"a", "b", "c"} {
+		unheard = append(unheard, peer{addr: a, power: 800})
+	}
+	assert.Assert(t, !inLine(peer{addr: "s1", power: 192}, "", unheard, true, now), "a host that has just begun goes by the roster")
+	assert.Assert(t, inLine(peer{addr: "s1", power: 192}, "", unheard, false, now), "peers that did not answer do not count")
 }
 
 // TestPingsGoOn asks hosts that have been silent for long less often, but never
