--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -1,11 +1,5 @@
 package sched
 
-import (
-	"sort"
-
-	"lagooncourse/internal/cell/trust"
-)
-
 // grant is what the advice service said about a worker and a step. Whether the
 // worker may run the step does not change; the ticket expires.
 type grant struct {
@@ -18,7 +12,7 @@
 // adviceState is what is known about the workers that may run a part.
 type adviceState struct {
 	grants map[string]grant
-	asked  bool  // a question is under way
+	asked  int   // questions under way
 	askMs  int64 // no further question before this instant
 }
 
@@ -61,21 +55,13 @@
 // usable reports whether the worker may be given work of the step at all.
 func (p *Planner) usable(w *Worker, pt *part, now Instant) bool {
 	s := pt.spec()
-	switch {
-	case !w.present || !w.listed || !w.contact || w.Draining || now.Ms < w.penalty:
-		return false
-	case w.Service != p.view.Queues[pt.job.Spec.Queue].Service || p.view.Closed[w.Az]:
-		return false
-	case s.Needs != "" && !w.hasLabel(s.Needs):
-		return false
-	}
-	return p.trust.State(w.ID, now.Ms) != trust.Quarantined
+	return w.Service == p.queue(pt).Service && p.available(w, now) && (s.Needs == "" || w.hasLabel(s.Needs))
 }
 
 // ticket returns the ticket for a start on the worker, and whether one is
 // needed and missing.
 func (p *Planner) ticket(w *Worker, pt *part, now Instant) (ticket string, ok bool) {
-	if p.view.Queues[pt.job.Spec.Queue].Advice == nil {
+	if p.queue(pt).Advice == nil {
 		return "", true
 	}
 	g := pt.advice.grants[w.ID]
@@ -85,97 +71,85 @@
 	return g.ticket, true
 }
 
+// want returns the workers to ask about next, if any: for new tickets where
+// enough allowed workers have room, or nobody is left to ask about; otherwise
+// about workers that nobody has asked about yet, those with room and fast ones
+// first.
+func (p *Planner) want(pt *part, need int, f *floor, now Instant) (ids []string) {
+	stale, unknown, spare, have := p.asking(pt, need, f, now)
+	switch {
+	case have < need && len(unknown) > 0, len(stale) == 0 && len(unknown) > 0:
+		ids = p.pick(pt, need-have, unknown)
+	case len(stale) > 0:
+		ids = stale
+	case have == 0:
+		ids = spare
+	}
+	return ids[:min(len(ids), mostAsk)]
+}
+
 // candidate is a worker about which a question could be asked.
 type candidate struct {
 	id    string
 	slots int // tasks of the part for which it has room
-	slow  int // its class of speed
 }
 
-// byPromise orders candidates: those with room, fast ones, those with most room.
-func byPromise(l []candidate) {
-	sort.Slice(l, func(a, b int) bool {
-		if room := l[a].slots > 0; room != (l[b].slots > 0) {
-			return room
-		}
-		if l[a].slow != l[b].slow {
-			return l[a].slow < l[b].slow
+// asking returns the workers with room whose tickets have expired, those that
+// nobody has asked about, by their class of speed, a few without room that
+// nobody has asked about, and how many tasks the allowed ones have room for.
+func (p *Planner) asking(pt *part, need int, f *floor, now Instant) (stale []string, unknown []candidate, spare []string, have int) {
+	size := pt.spec().charge()
+	var classes [slowClasses][]candidate
+	for _, w := range f.byFree {
+		if tooSmall(w, size) && len(spare) >= leastAsk {
+			break
 		}
-		if l[a].slots != l[b].slots {
-			return l[a].slots > l[b].slots
-		}
-		return l[a].id < l[b].id
-	})
-}
-
-// want returns the question whose answer the part needs next, if any: for new
-// tickets where enough allowed workers have room, or nobody is left to ask about;
-// otherwise about workers that nobody has asked about yet.
-func (p *Planner) want(pt *part, need int, now Instant) (Want, bool) {
-	q := p.view.Queues[pt.job.Spec.Queue]
-	if q.Advice == nil || pt.advice.asked || now.Ms < pt.advice.askMs {
-		return Want{}, false
-	}
-	stale, unknown, have := p.asking(pt, need, now)
-	ask := stale
-	if len(unknown) > 0 && (have < need || len(stale) == 0) {
-		ask = p.pick(q, need-have, unknown)
-	}
-	if len(ask) == 0 {
-		return Want{}, false
-	}
-	byPromise(ask)
-	var ids []string
-	for _, c := range ask[:min(len(ask), mostAsk)] {
-		ids = append(ids, c.id)
-	}
-	cost := q.Advice.BaseMs + q.Advice.WorkerMs*float64(len(ids))
-	return Want{Part: pt.key(), Step: pt.name(), Workers: ids, CostMs: cost}, true
-}
-
-// asking returns the workers whose tickets have expired, those that nobody has
-// asked about, and how many tasks the allowed ones have room for.
-func (p *Planner) asking(pt *part, need int, now Instant) (stale, unknown []candidate, have int) {
-	for id, w := range p.workers {
-		if !p.usable(w, pt, now) {
+		asked, ok := p.prospective(pt, w, now)
+		if !ok {
 			continue
 		}
-		c := candidate{id, p.roomFor(pt, w, need, now), p.learned.slowness(id)}
-		g, asked := pt.advice.grants[id]
+		n := p.roomFor(pt, w, need, now)
 		switch {
-		case !asked:
-			if slots(w.Capacity, pt.spec().charge(), 1) > 0 {
-				unknown = append(unknown, c)
-			}
-		case g.allowed && c.slots > 0:
-			have += c.slots
+		case asked && n > 0:
+			have += n
 			if _, ok := p.ticket(w, pt, now); !ok {
-				stale = append(stale, c)
+				stale = append(stale, w.ID)
 			}
+		case !asked && n > 0:
+			class := p.learned.slowness(w.ID)
+			classes[class] = append(classes[class], candidate{w.ID, n})
+		case !asked && len(spare) < leastAsk && slots(w.Capacity, size, 1) > 0:
+			spare = append(spare, w.ID)
 		}
 	}
-	return stale, unknown, have
+	for _, c := range classes {
+		unknown = append(unknown, c...)
+	}
+	return stale, unknown, spare, have
 }
 
 // pick takes as many of the workers as the need makes likely to suffice. A dear
 // question takes as many as it may, since another one would cost nearly as much.
-func (p *Planner) pick(q Queue, need int, unknown []candidate) []candidate {
-	byPromise(unknown)
-	if q.Advice.BaseMs >= dearAskMs {
-		return unknown[:min(len(unknown), dearAskMost)]
-	}
-	share := firstRatio
-	if r := p.good[q.Name]; r != nil {
-		share = max(r.mean, leastRatio)
-	}
+func (p *Planner) pick(pt *part, need int, unknown []candidate) (ids []string) {
+	dear := p.queue(pt).Advice.BaseMs >= dearAskMs
+	share := p.allowedShare(pt.job.Spec.Queue)
 	expected := 0.0
 	for i, c := range unknown {
-		if i >= leastAsk && (expected >= askMargin*float64(need) || c.slots == 0 && expected > 0) {
-			return unknown[:i]
+		if dear && i == dearAskMost || !dear && i >= leastAsk && expected >= askMargin*float64(need) {
+			break
 		}
 		expected += share * float64(c.slots)
+		ids = append(ids, c.id)
+	}
+	return ids
+}
+
+// allowedShare estimates which share of the workers advice allows for a queue.
+func (p *Planner) allowedShare(queue string) float64 {
+	if r := p.good[queue]; r != nil {
+		return max(r.mean, leastRatio)
 	}
-	return unknown
+	return firstRatio
 }
 
 // Advised takes the answer to a question. With ok false nothing was learned.
@@ -185,9 +159,9 @@
 	if pt == nil {
 		return
 	}
-	pt.advice.asked, pt.restMs = false, 0
+	pt.advice.asked, pt.restMs = max(pt.advice.asked-1, 0), 0
 	pt.advice.askMs = now.Ms + retryAskMs
-	q := p.view.Queues[pt.job.Spec.Queue]
+	q := p.queue(pt)
 	if !ok || q.Advice == nil {
 		return
 	}
--- a/internal/cell/sched/late.go
+++ b/internal/cell/sched/late.go
@@ -18,6 +18,7 @@
 	Slots     int // tasks that could start now
 	OverLimit bool
 	Asked     bool // a question for advice is under way
+	Kept      int  // workers kept for this part, a gang
 }
 
 // Late explains up to most parts that have waited for longer than afterMs, the
@@ -39,10 +40,13 @@
 
 func (p *Planner) explain(pt *part, now Instant) Late {
 	_, idle := count(pt.tasks())
-	e := Late{Step: pt.name(), WaitMs: now.Ms - pt.readyMs, Idle: idle, Asked: pt.advice.asked}
+	e := Late{Step: pt.name(), WaitMs: now.Ms - pt.readyMs, Idle: idle, Asked: pt.advice.asked > 0}
 	e.OverLimit = len(p.withinLimit(pt, make([]int, idle))) < idle
-	advised := p.view.Queues[pt.job.Spec.Queue].Advice != nil
+	advised := p.queue(pt).Advice != nil
 	for id, w := range p.workers {
+		if w.keeps(pt.key(), now) {
+			e.Kept++
+		}
 		g, asked := pt.advice.grants[id]
 		n := p.roomFor(pt, w, idle, now)
 		_, ticket := p.ticket(w, pt, now)
--- a/internal/cell/sched/learn.go
+++ b/internal/cell/sched/learn.go
@@ -114,6 +114,9 @@
 	l.images[key].add(took)
 }
 
+// slowClasses is how many classes of speed there are.
+const slowClasses = 4
+
 // slowness puts a worker into one of a few classes by its speed: 0 for one that
 // is as fast as others, up to 3 for one that hardly works.
 func (l learned) slowness(worker string) int {
--- a/internal/cell/sched/load_test.go
+++ b/internal/cell/sched/load_test.go
@@ -149,3 +149,57 @@
 		}
 	}
 }
+
+// allDesks takes every question.
+type allDesks struct{}
+
+func (allDesks) Idle() bool                  { return true }
+func (allDesks) Take(float64) (string, bool) { return "d", true }
+
+// backlog returns a planner whose fleet is full, with n gangs, n wide steps and n
+// urgent jobs that wait.
+func backlog(workers, n int, now Instant) *Planner {
+	p := fleet(workers, now)
+	p.SetView(View{Queues: map[string]Queue{
+		"urgent": {Name: "urgent", Service: "s", Attempts: 3, Slack: 2, TargetMs: 250, Advice: &AdviceCost{BaseMs: 7, WorkerMs: 0.1, ValidMs: 1500}},
+		"gang":   {Name: "gang", Service: "s", Priority: 1, Attempts: 3, Slack: 2, TargetMs: 1000, Advice: &AdviceCost{BaseMs: 450, WorkerMs: 6.5, ValidMs: 1500}},
+		"wide":   {Name: "wide", Service: "s", Priority: 2, Attempts: 3, Slack: 4, TargetMs: 3000, Advice: &AdviceCost{BaseMs: 100, WorkerMs: 1.4, ValidMs: 1500}},
+	}})
+	for i := range n {
+		for queue, s := range map[string]Step{
+			"gang":   {Count: 20, Gang: true, Size: jobs.Size{CPU: 9_000}, EstimateMs: 5_000},
+			"wide":   {Count: 25, Size: jobs.Size{CPU: 3_200}, EstimateMs: 2_700},
+			"urgent": {Count: 3, Size: jobs.Size{CPU: 4_600}, EstimateMs: 640},
+		} {
+			p.Accept(Spec{ID: fmt.Sprintf("%s%05d", queue, i), Queue: queue, AtMs: now.Wall, Steps: []Step{s}}, now)
+		}
+	}
+	return p
+}
+
+// BenchmarkBacklog measures a plan while a fleet is full and work of all kinds
+// waits.
+func BenchmarkBacklog(b *testing.B) {
+	for _, n := range []int{48, 350, 3200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			now := Instant{Ms: 1000, Wall: 1000}
+			p := backlog(n, 2*n, now)
+			for range b.N {
+				now.Ms, now.Wall = now.Ms+5, now.Wall+5
+				plan := p.Plan(allDesks{}, now)
+				for _, w := range plan.Wants {
+					tickets := map[string]string{}
+					for i, id := range w.Workers {
+						if i%3 == 0 {
+							tickets[id] = "t"
+						}
+					}
+					p.Advised(w, tickets, true, now.Ms, now)
+				}
+				for _, s := range p.Release(plan.Starts, now) {
+					p.Started(s, StartUp, now)
+				}
+			}
+		})
+	}
+}
--- a/internal/cell/sched/order.go
+++ b/internal/cell/sched/order.go
@@ -55,7 +55,7 @@
 
 // standing computes a part's place.
 func (p *Planner) standing(pt *part, now Instant) standing {
-	q := p.view.Queues[pt.job.Spec.Queue]
+	q := p.queue(pt)
 	s := standing{pt: pt, priority: q.Priority, due: pt.due}
 	end := now.Wall + p.remaining(pt)
 	late := pt.from + lateFactor*(pt.due-pt.from)
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -25,8 +25,11 @@
 	Starts []Start
 	Wants  []Want
 
-	desks Desks
-	full  bool // no desk was free; none will be before the next plan
+	desks   Desks
+	full    bool              // no desk was free; none will be before the next plan
+	counted bool              // kept has been counted
+	kept    int               // workers kept for gangs
+	floors  map[string]*floor // by pool
 }
 
 // mostPlanned bounds the starts of one plan, so that one append carries them.
@@ -68,8 +71,12 @@
 		p.rest(pt, now)
 		return
 	}
-	sites := p.sites(pt, len(idle), now)
-	if pt.spec().Gang && len(sites) < len(idle) || len(sites) == 0 {
+	sites := p.sites(pt, len(idle), plan, now)
+	if pt.spec().Gang && len(sites) < len(idle) {
+		p.gather(pt, len(idle), plan, now)
+		return
+	}
+	if len(sites) == 0 {
 		p.ask(pt, len(idle), plan, now)
 		return
 	}
@@ -96,7 +103,7 @@
 // rest keeps a part from being looked at for a while.
 func (p *Planner) rest(pt *part, now Instant) {
 	pt.restMs = now.Ms + restMs
-	if p.view.Queues[pt.job.Spec.Queue].Priority == 0 {
+	if p.queue(pt).Priority == 0 {
 		pt.restMs = now.Ms + urgentRestMs
 	}
 }
@@ -105,18 +112,39 @@
 // asked now rests.
 func (p *Planner) ask(pt *part, need int, plan *Plan, now Instant) {
 	p.rest(pt, now)
-	plan.full = plan.full || !plan.desks.Idle()
-	if plan.full {
+	q := p.queue(pt)
+	if q.Advice == nil || pt.advice.asked > 0 || now.Ms < pt.advice.askMs || !plan.idle() {
 		return
 	}
-	w, ok := p.want(pt, need, now)
-	if !ok {
+	ids := p.want(pt, need, p.floorOf(q.Service, plan, now), now)
+	if len(ids) == 0 {
 		return
 	}
-	if w.Desk, ok = plan.desks.Take(w.CostMs); ok {
-		pt.advice.asked = true
-		plan.Wants = append(plan.Wants, w)
+	if desk, ok := plan.take(q.Advice.cost(len(ids))); ok {
+		p.question(pt, ids, desk, plan)
+	}
+}
+
+// idle reports whether a desk is free.
+func (plan *Plan) idle() bool {
+	plan.full = plan.full || !plan.desks.Idle()
+	return !plan.full
+}
+
+// take reserves a desk for a question.
+func (plan *Plan) take(costMs float64) (desk string, ok bool) {
+	if !plan.idle() {
+		return "", false
 	}
+	return plan.desks.Take(costMs)
+}
+
+// question asks about workers through a desk that has been taken.
+func (p *Planner) question(pt *part, ids []string, desk string, plan *Plan) {
+	pt.advice.asked++
+	plan.Wants = append(plan.Wants, Want{
+		Part: pt.key(), Step: pt.name(), Workers: ids, CostMs: p.queue(pt).Advice.cost(len(ids)), Desk: desk,
+	})
 }
 
 // withinLimit cuts the tasks to what the team may have running in addition. A
@@ -160,6 +188,7 @@
 	w     *Worker
 	slots int
 	far   bool  // away from the data
+	kept  bool  // for a gang that this part may overtake
 	slow  int   // by its class of speed
 	left  int64 // CPU left after one task
 }
@@ -167,26 +196,32 @@
 // sites chooses a worker for each of up to n tasks: near the data, not slower
 // than others, and the fullest first, so that wide tasks find room elsewhere. A
 // gang that runs slower on several racks gets one rack, if one has the room.
-func (p *Planner) sites(pt *part, n int, now Instant) []*Worker {
+func (p *Planner) sites(pt *part, n int, plan *Plan, now Instant) []*Worker {
 	s := pt.spec()
 	var list []site
-	for _, w := range p.candidates(pt) {
-		if !p.usable(w, pt, now) {
-			continue
+	for _, w := range p.floorOf(p.queue(pt).Service, plan, now).byFree {
+		if tooSmall(w, s.charge()) {
+			break
 		}
-		k := p.roomFor(pt, w, n, now)
-		if k <= 0 {
+		if asked, ok := p.prospective(pt, w, now); !ok || !asked {
 			continue
 		}
-		if _, ok := p.ticket(w, pt, now); !ok {
+		k := p.roomFor(pt, w, n, now)
+		if _, ok := p.ticket(w, pt, now); !ok || k <= 0 {
 			continue
 		}
-		list = append(list, site{w, k, s.Near != "" && w.Rack != s.Near, p.learned.slowness(w.ID), w.free().CPU - s.Size.CPU})
+		list = append(list, site{
+			w: w, slots: k, far: s.Near != "" && w.Rack != s.Near, kept: now.Ms < w.kept.untilMs && w.kept.part != pt.key(),
+			slow: p.learned.slowness(w.ID), left: w.free().CPU - s.Size.CPU,
+		})
 	}
 	sort.Slice(list, func(a, b int) bool {
 		if list[a].far != list[b].far {
 			return !list[a].far
 		}
+		if list[a].kept != list[b].kept {
+			return !list[a].kept
+		}
 		if list[a].slow != list[b].slow {
 			return list[a].slow < list[b].slow
 		}
@@ -210,24 +245,6 @@
 	return out
 }
 
-// candidates returns the workers that could be allowed to run the part: those
-// that advice allows, or all where there is none.
-func (p *Planner) candidates(pt *part) []*Worker {
-	var list []*Worker
-	if p.view.Queues[pt.job.Spec.Queue].Advice == nil {
-		for _, w := range p.workers {
-			list = append(list, w)
-		}
-		return list
-	}
-	for id, g := range pt.advice.grants {
-		if w := p.workers[id]; w != nil && g.allowed {
-			list = append(list, w)
-		}
-	}
-	return list
-}
-
 // oneRack keeps the sites of the first rack that has room for n tasks, or all
 // of them when no rack has.
 func oneRack(list []site, n int) []site {
@@ -254,6 +271,9 @@
 // most.
 func (p *Planner) roomFor(pt *part, w *Worker, most int, now Instant) int {
 	s := pt.spec()
+	if w.keptFrom(pt, p.queue(pt).Priority, now) {
+		return 0
+	}
 	if s.Apart > 0 {
 		most = min(most, s.Apart-p.onWorker(pt, w))
 	}
@@ -291,7 +311,10 @@
 	}
 	t.State, t.Run, t.Worker, t.Born = Placed, run, w.ID, w.Born
 	ref := pt.ref(index)
-	p.book(w, &booking{ref: ref, run: run, size: pt.spec().charge(), team: pt.job.Spec.Team, phase: phaseIntent, sinceMs: now.Ms})
+	runMs := p.learned.runMs(pt.job.Spec.Queue, pt.spec())
+	p.book(w, &booking{
+		ref: ref, run: run, size: pt.spec().charge(), team: pt.job.Spec.Team, phase: phaseIntent, sinceMs: now.Ms, runMs: runMs, endMs: now.Ms + runMs,
+	})
 	p.dirty[ref.Job] = true
 	ticket, _ := p.ticket(w, pt, now)
 	plan.Starts = append(plan.Starts, Start{
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -78,6 +78,8 @@
 	advice  adviceState
 	restMs  int64 // found no room: it is not looked at before this instant
 	failRun int   // run of a gang whose failure has been counted
+	queue   *Queue
+	viewNo  int // of the configuration from which queue was taken
 }
 
 func (pt *part) spec() Step    { return pt.job.Spec.Steps[pt.step] }
@@ -98,6 +100,8 @@
 	cfg     Config
 	state   *State
 	view    View
+	queues  map[string]*Queue
+	viewNo  int // counts configurations
 	workers map[string]*Worker
 	used    map[string]jobs.Size // team -> booked
 	parts   map[partKey]*part
@@ -158,7 +162,7 @@
 				}
 				p.book(w, &booking{
 					ref: Ref{j.Spec.ID, occ, step, i}, run: t.Run, size: s.charge(), team: j.Spec.Team,
-					phase: phaseAdopted, sinceMs: now.Ms,
+					phase: phaseAdopted, sinceMs: now.Ms, runMs: s.EstimateMs, endMs: now.Ms + s.EstimateMs,
 				})
 			}
 		}
@@ -352,7 +356,28 @@
 }
 
 // SetView replaces the configuration.
-func (p *Planner) SetView(v View) { p.view = v }
+func (p *Planner) SetView(v View) {
+	p.view = v
+	p.viewNo++
+	p.queues = map[string]*Queue{}
+	for name, q := range v.Queues {
+		p.queues[name] = &q
+	}
+}
+
+// noQueue stands for a queue that the configuration no longer has.
+var noQueue = &Queue{}
+
+// queue returns the queue of a part.
+func (p *Planner) queue(pt *part) *Queue {
+	if pt.queue == nil || pt.viewNo != p.viewNo {
+		pt.queue, pt.viewNo = p.queues[pt.job.Spec.Queue], p.viewNo
+		if pt.queue == nil {
+			pt.queue = noQueue
+		}
+	}
+	return pt.queue
+}
 
 // Accept adds a job. A job that is known already is left as it is.
 func (p *Planner) Accept(spec Spec, now Instant) (added bool) {
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -39,7 +39,7 @@
 	}
 	switch o {
 	case StartUp:
-		b.phase, b.sinceMs = phaseUp, now.Ms
+		b.phase, b.sinceMs, b.endMs = phaseUp, now.Ms, now.Ms+b.runMs
 		if j := p.state.Jobs[s.Ref.Job]; j == nil || j.Progress.Verdict != Open {
 			p.stop(w, s.Ref, s.Run)
 		}
--- a/internal/cell/sched/types.go
+++ b/internal/cell/sched/types.go
@@ -110,6 +110,9 @@
 	ValidMs  int64 // of a ticket
 }
 
+// cost returns what a question about n workers takes, in ms.
+func (a *AdviceCost) cost(n int) float64 { return a.BaseMs + a.WorkerMs*float64(n) }
+
 // WorkerInfo is what the registry says about a worker.
 type WorkerInfo struct {
 	ID       string
--- a/internal/cell/sched/worker.go
+++ b/internal/cell/sched/worker.go
@@ -27,6 +27,8 @@
 	phase    phase
 	sinceMs  int64 // when the phase began
 	stopping bool  // a stop was asked for
+	runMs    int64 // how long it is expected to run
+	endMs    int64 // when it is expected to end
 }
 
 // Worker is a worker with what is booked on it.
@@ -41,6 +43,10 @@
 	seen    int64 // highest number of an end that was applied
 	stored  int64 // highest number of an end that is stored
 	penalty int64 // no starts before this instant
+	kept    kept  // for a gang that waits
+
+	floorCPU  int64     // free when the plan began
+	laterRoom jobs.Size // expected within gatherMs, for the plan
 }
 
 func newWorker(info WorkerInfo) *Worker {
--- a/internal/node/lead/lead.go
+++ b/internal/node/lead/lead.go
@@ -63,7 +63,7 @@
 
 // Timing of an owner.
 const (
-	leaseMs        = 8_000                  // outlives the longest outage of the store seen in a day, 7 s
+	leaseMs        = 5_000                  // outlives a takeover and a loss of power of all hosts for 2 s; the tasks of a crashed worker wait for it
 	silenceMs      = 6_000                  // without a stored record for so long, an owner renews nothing
 	idleEvery      = 500 * time.Millisecond // an idle owner shows that it lives
 	planEvery      = 25 * time.Millisecond  // tickets and due times change without an event
--- a/internal/node/lead/order.go
+++ b/internal/node/lead/order.go
@@ -198,24 +198,31 @@
 			pause = min(2*pause, maxHoldPause)
 			continue
 		case ends:
-			l.awaitStored(ctx)
+			l.awaitStored(ctx, id)
 		}
 		pause = holdPause
 	}
 }
 
-// awaitStored waits for the next append, so that a worker is not asked again
-// while it still lists ends that are not stored.
-func (l *Lead) awaitStored(ctx context.Context) {
-	l.mu.Lock()
-	ch := l.stored
-	l.mu.Unlock()
+// awaitStored waits until the ends that a worker has listed are stored. A call
+// before that would be answered at once with the same ends.
+func (l *Lead) awaitStored(ctx context.Context, id string) {
 	t := time.NewTimer(storedTimeout)
 	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-ch:
-	case <-t.C:
+	for {
+		l.mu.Lock()
+		ch, stored := l.stored, l.plan.Applied(id) <= l.plan.Seen(id)
+		l.mu.Unlock()
+		if stored {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ch:
+		case <-t.C:
+			return
+		}
 	}
 }
 
--- a/internal/node/lead/write.go
+++ b/internal/node/lead/write.go
@@ -32,8 +32,9 @@
 	}
 }
 
-// planPause gathers events that arrive together.
-const planPause = 2 * time.Millisecond
+// planPause gathers events that arrive together: a tenth of the time in which an
+// urgent job of the users should begin.
+const planPause = 5 * time.Millisecond
 
 // planLocked places what fits and asks for advice. It reports whether there is
 // anything to store. The caller holds the lock.
@@ -160,7 +161,7 @@
 	}
 	for _, e := range l.plan.Late(lateAfterMs, mostExplain, now) {
 		l.log.Info("still waiting", "step", e.Step, "waitMs", e.WaitMs, "idle", e.Idle, "unusable", e.Unusable, "unasked", e.Unasked,
-			"denied", e.Denied, "noRoom", e.NoRoom, "noTicket", e.NoTicket, "slots", e.Slots, "overLimit", e.OverLimit, "asked", e.Asked)
+			"denied", e.Denied, "noRoom", e.NoRoom, "noTicket", e.NoTicket, "slots", e.Slots, "overLimit", e.OverLimit, "asked", e.Asked, "kept", e.Kept)
 	}
 }
 
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -24,6 +24,7 @@
 
 const (
 	memoryShare = 0.7 // of the machine's memory, for the Go heap
+	gcPercent   = 300 // the heap of an owner is small beside the memory; collecting it less often saves processor time
 	stopMargin  = 1500 * time.Millisecond
 	logLines    = 8192 // lines that wait for a slow reader of the log
 )
@@ -52,6 +53,7 @@
 // runServe runs the daemon until it is asked to end.
 func runServe(path string, set platform.Settings, w io.Writer) error {
 	if set.MemoryMiB > 0 {
+		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(float64(set.MemoryMiB<<20) * memoryShare))
 	}
 	ctx, cancel := waitForSignal()
