Claim soon after an owner that stands only in the records

Cause: after a loss of power of all hosts the first claim came 0.9 to 1.1 s after the processes' start. A host that read the old owner's claim took it for heard at that moment, waited 0.8 s for it, and told its peers so, who then spoke against a claim as well. An owner that is only read of has 150 ms to answer now, if the process has met none; what peers say of an owner keeps its age.

--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -91,11 +91,27 @@
 		r.grew = h.clock.Now()
 	}
 	if c := r.state.Claim; c.Epoch > h.own.epoch {
-		h.setOwner(c.Epoch, c.Addr)
+		h.setOwner(c.Epoch, c.Addr, h.presumed())
+		go h.ping(context.WithoutCancel(ctx), c.Addr)
 	}
 	return err
 }
 
+// ownerProbe is how long an owner that a process has only read of has to answer
+// it: several round trips.
+const ownerProbe = 150 * time.Millisecond
+
+// presumed returns when an owner that is only known from the records counts as
+// heard. After a loss of power of all hosts nobody answers any more, so a process
+// that has met no owner yet waits only for ownerProbe. The caller holds the lock.
+func (h *Host) presumed() time.Time {
+	now := h.clock.Now()
+	if h.met {
+		return now
+	}
+	return now.Add(ownerProbe - suspectAfter)
+}
+
 // read applies records until the end of the topic, or up to the offset to.
 func (h *Host) read(ctx context.Context, r *replica, to int64) error {
 	if r.state.Next == 0 {
@@ -276,7 +292,8 @@
 	})
 	h.lead = l
 	h.since = h.clock.Now()
-	h.setOwner(c.Epoch, h.addr)
+	h.setOwner(c.Epoch, h.addr, h.since)
+	h.met = true
 	go h.announce()
 	go func() {
 		<-l.Done()
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -108,6 +108,7 @@
 	mu      sync.Mutex
 	peers   map[string]*peer
 	own     ownership
+	met     bool      // an owner has answered this process
 	since   time.Time // when this host became the owner
 	leaving bool
 	invited bool
--- a/internal/node/gate/member.go
+++ b/internal/node/gate/member.go
@@ -209,10 +209,10 @@
 	p.power, p.heard, p.leaving, p.owner, p.storeOK = a.Power, now, a.Leaving, a.Owner, a.StoreOK
 	p.heardBy = time.Duration(a.OwnerAgeMs) * time.Millisecond
 	if a.Epoch > h.own.epoch && a.Owner != "" {
-		h.setOwner(a.Epoch, a.Owner)
+		h.setOwner(a.Epoch, a.Owner, now.Add(-p.heardBy))
 	}
 	if a.Epoch == h.own.epoch && a.Owner == a.Addr && a.OwnerAgeMs == 0 {
-		h.own.heard = now
+		h.own.heard, h.met = now, true
 	}
 	h.mu.Unlock()
 	if a.SiteNext > h.site.offset() {
@@ -220,9 +220,10 @@
 	}
 }
 
-// setOwner takes note of a later ownership. The caller holds the lock.
-func (h *Host) setOwner(epoch int64, addr string) {
-	h.own = ownership{epoch: epoch, addr: addr, heard: h.clock.Now()}
+// setOwner takes note of a later ownership, whose holder was heard at the given
+// time. The caller holds the lock.
+func (h *Host) setOwner(epoch int64, addr string, heard time.Time) {
+	h.own = ownership{epoch: epoch, addr: addr, heard: heard}
 	if h.lead != nil && addr != h.addr {
 		h.lead.Stop("a peer has claimed a later epoch")
 	}
--- a/internal/node/gate/peers_test.go
+++ b/internal/node/gate/peers_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"lagooncourse/internal/base/clock"
@@ -129,3 +130,33 @@
 	}
 	assert.DeepEqual(t, asked, map[string]int{"new": rounds, "live": rounds, "gone": 4})
 }
+
+// TestOwnerOfRecords was seen on hanbit-mcl-grown and fwl-numbering: after a loss
+// of power of all hosts, the first claim waited 0.8 s for an owner that stood in
+// the records and had lost power too, and hosts that had read of it told each
+// other that it lived.
+func TestOwnerOfRecords(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	newHost := func() *Host {
+		return &Host{
+			cfg: Config{Power: 800, Logger: logr.Discard()}, clock: c, log: logr.Discard(), addr: "a", site: newSiteState(),
+			peers: map[string]*peer{}, replica: newReplica(), changed: make(chan struct{}), own: ownership{heard: c.Now()},
+			store: &relayStore{},
+		}
+	}
+	h := newHost()
+	h.setOwner(5, "dead", h.presumed())
+	assert.Assert(t, !h.mayClaim(), "the owner has had no time to answer")
+	c.Advance(ownerProbe)
+	assert.Assert(t, h.mayClaim())
+
+	h = newHost()
+	h.met = true
+	h.setOwner(5, "o", h.presumed())
+	c.Advance(suspectAfter - time.Millisecond)
+	assert.Assert(t, !h.mayClaim(), "a host that has met an owner waits for the new one")
+
+	h = newHost()
+	h.hear(t.Context(), ping{Addr: "b", Epoch: 5, Owner: "dead", OwnerAgeMs: 700})
+	assert.Equal(t, c.Now().Sub(h.own.heard), 700*time.Millisecond, "hearsay is as old as it says")
+}
