--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -159,7 +159,8 @@
 	if pt == nil {
 		return
 	}
-	pt.advice.asked, pt.restMs = max(pt.advice.asked-1, 0), 0
+	pt.advice.asked = max(pt.advice.asked-1, 0)
+	pt.restMs, pt.vain = 0, 0
 	pt.advice.askMs = now.Ms + retryAskMs
 	q := p.queue(pt)
 	if !ok || q.Advice == nil {
--- a/internal/cell/sched/order.go
+++ b/internal/cell/sched/order.go
@@ -53,7 +53,7 @@
 	return k.step < o.step
 }
 
-// standing computes a part's place.
+// standing computes a part's place, and keeps its rank.
 func (p *Planner) standing(pt *part, now Instant) standing {
 	q := p.queue(pt)
 	s := standing{pt: pt, priority: q.Priority, due: pt.due}
@@ -67,6 +67,7 @@
 	case end > pt.due:
 		s.rank = rankLate
 	}
+	pt.rank = s.rank
 	return s
 }
 
@@ -114,6 +115,9 @@
 			continue
 		}
 		s := p.standing(pt, now)
+		if s.rank == rankLost {
+			pt.restMs = now.Ms + lostRestMs
+		}
 		if len(h) < n {
 			heap.Push(&h, s)
 			continue
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -94,18 +94,32 @@
 	p.refresh(pt.job, now)
 }
 
-// Rests of parts that find no room, by urgency.
+// Rests of parts that find no room. Those of urgent parts that can be in time are
+// short, since room that they miss goes to others. Rests grow after some tries in
+// vain, so that a backlog costs little processor time while nothing changes.
 const (
-	urgentRestMs = 8
-	restMs       = 40
+	urgentRestMs     = 8
+	urgentLongRestMs = 16
+	restMs           = 40
+	longRestMs       = 160
+	lostRestMs       = 250 // of parts that are too late to be worth anything
+	patientTries     = 4
 )
 
 // rest keeps a part from being looked at for a while.
 func (p *Planner) rest(pt *part, now Instant) {
-	pt.restMs = now.Ms + restMs
-	if p.queue(pt).Priority == 0 {
-		pt.restMs = now.Ms + urgentRestMs
-	}
+	pt.vain++
+	urgent, tired := p.queue(pt).Priority == 0 && pt.rank == rankInTime, pt.vain > patientTries
+	ms := int64(restMs)
+	switch {
+	case urgent && tired:
+		ms = urgentLongRestMs
+	case urgent:
+		ms = urgentRestMs
+	case tired:
+		ms = longRestMs
+	}
+	pt.restMs = max(pt.restMs, now.Ms+ms)
 }
 
 // ask asks for the advice that a part needs. A part for which nothing can be
@@ -309,6 +323,7 @@
 	if run == 0 {
 		run = t.Run + 1
 	}
+	pt.vain = 0
 	t.State, t.Run, t.Worker, t.Born = Placed, run, w.ID, w.Born
 	ref := pt.ref(index)
 	runMs := p.learned.runMs(pt.job.Spec.Queue, pt.spec())
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -77,6 +77,8 @@
 	readyMs int64 // steady instant from which it could run; 0 while it may not
 	advice  adviceState
 	restMs  int64 // found no room: it is not looked at before this instant
+	rank    rank  // when it was looked at last
+	vain    int   // tries since it was placed or advised last
 	failRun int   // run of a gang whose failure has been counted
 	queue   *Queue
 	viewNo  int // of the configuration from which queue was taken
@@ -261,6 +263,7 @@
 		delete(p.waiting, key)
 		return
 	}
+	pt.restMs = 0 // a run of its own has ended, and may have left room
 	if p.waiting[key] == nil {
 		pt.readyMs = now.Ms
 		p.schedule(pt)
