Count a job as begun once a worker has confirmed a run

A job counted as begun as soon as it had used a run number, also when that order had been undone: its ticket had expired, or an owner ended before it sent it.

--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -435,7 +435,7 @@
 	case Cancelled:
 		return StatusCancelled, true
 	}
-	if begun(j) {
+	if j.Progress.Begun {
 		return StatusRunning, true
 	}
 	return StatusQueued, true
@@ -450,20 +450,12 @@
 	return j.Spec, true
 }
 
-func begun(j *Job) bool {
-	for _, t := range j.Progress.Tasks {
-		if t.State != Waiting || t.Run > 0 {
-			return true
-		}
-	}
-	return false
-}
-
-// Pending counts the accepted jobs of a queue of which no task has started.
+// Pending counts the accepted jobs of a queue of which no task has started: an
+// order that a worker has not confirmed is no start.
 func (p *Planner) Pending(queue string) int {
 	n := 0
 	for id, j := range p.state.Jobs {
-		if j.Spec.Queue == queue && p.known[id] && j.Progress.Verdict == Open && !begun(j) {
+		if j.Spec.Queue == queue && p.known[id] && j.Progress.Verdict == Open && !j.Progress.Begun {
 			n++
 		}
 	}
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -40,9 +40,12 @@
 	switch o {
 	case StartUp:
 		b.phase, b.sinceMs, b.endMs = phaseUp, now.Ms, now.Ms+b.runMs
-		if j := p.state.Jobs[s.Ref.Job]; j == nil || j.Progress.Verdict != Open {
+		j := p.state.Jobs[s.Ref.Job]
+		if j == nil || j.Progress.Verdict != Open {
 			p.stop(w, s.Ref, s.Run)
+			return
 		}
+		j.Progress.Begun = true
 		return
 	case StartUnknown:
 		p.stop(w, s.Ref, s.Run)
@@ -302,6 +305,7 @@
 		p.stop(w, ref, r.Run)
 		return
 	}
+	j.Progress.Begun = true
 	if t := j.task(ref); t != nil && t.Run == r.Run && r.Saved != "" {
 		p.save(j, ref, r.Saved)
 	}
@@ -329,6 +333,7 @@
 		return
 	}
 	p.judge(w, ref, f, now)
+	j.Progress.Begun = true
 	if t.State == Done || t.Run > f.Run || t.State == Waiting && f.How != EndDone {
 		return
 	}
--- a/internal/cell/sched/types.go
+++ b/internal/cell/sched/types.go
@@ -79,6 +79,7 @@
 	Verdict Verdict
 	EndMs   int64 // when the verdict was reached, in ms since 1970
 	Tasks   []Task
+	Begun   bool // a run has been confirmed by its worker
 }
 
 // Claim is the record of an ownership.
