Ask a peer when the store is silent for 80 ms; leave a silent way alone for longer

Each direct append hung for its 700 ms before a peer was asked, and the direct way was tried again every 400 ms. Appends carry a sequence number and reads change nothing, so a peer is asked after 80 ms, the first answer counts, and a way that fails rests for up to 3.2 s. Where the store is slow for everybody the direct answer still comes first.

--- a/internal/node/gate/relay.go
+++ b/internal/node/gate/relay.go
@@ -20,13 +20,22 @@
 
 	mu     sync.Mutex
 	badAt  time.Time // when a direct call failed last
+	bads   int       // failures since a direct call succeeded
 	goodAt time.Time // when a direct call succeeded last
 }
 
 var _ ports.Store = (*relayStore)(nil)
 
-// retryDirect is how long a failed direct way is left unused while peers relay.
-const retryDirect = 400 * time.Millisecond
+// A direct way that has failed is left unused while peers relay, longer after
+// each failure.
+const (
+	retryDirect     = 400 * time.Millisecond
+	mostRetryDirect = 3200 * time.Millisecond
+)
+
+// hedgeAfter is how long the direct way may take alone: ten times what the store
+// takes, and less than an urgent job can wait.
+const hedgeAfter = 80 * time.Millisecond
 
 // relays is how many peers are tried for one call.
 const relays = 2
@@ -43,20 +52,27 @@
 	if err != nil && errors.Is(ctx.Err(), context.Canceled) {
 		return // the caller has ended the call, which says nothing about the store
 	}
+	if err != nil && !answered(err) {
+		s.fail(err.Error())
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := s.host.clock.Now()
-	if err == nil || answered(err) {
-		if s.badAt.After(s.goodAt) {
-			s.host.log.Info("store answers again")
-		}
-		s.goodAt = now
-		return
+	if s.badAt.After(s.goodAt) {
+		s.host.log.Info("store answers again")
 	}
+	s.goodAt, s.bads = s.host.clock.Now(), 0
+}
+
+// fail takes note that the direct way does not serve.
+func (s *relayStore) fail(reason string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if !s.badAt.After(s.goodAt) {
-		s.host.log.Info("store does not answer", "err", err.Error())
+		s.host.log.Info("store does not answer", "err", reason)
 	}
-	s.badAt = now
+	s.badAt = s.host.clock.Now()
+	s.bads++
 }
 
 // answered reports whether the error is the store's own answer to what was
@@ -71,38 +87,100 @@
 func (s *relayStore) skipDirect() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.badAt.After(s.goodAt) && s.host.clock.Now().Sub(s.badAt) < retryDirect
+	pause := min(retryDirect<<min(max(s.bads-1, 0), 8), mostRetryDirect)
+	return s.badAt.After(s.goodAt) && s.host.clock.Now().Sub(s.badAt) < pause
+}
+
+// way is one way of a call to the store.
+type way[T any] func(context.Context) (T, error)
+
+// outcome is what came of one way.
+type outcome[T any] struct {
+	v      T
+	err    error
+	direct bool
 }
 
-// both tries the direct way and then peers.
-func both[T any](ctx context.Context, s *relayStore, direct func(context.Context) (T, error), relay func(context.Context, string) (T, error)) (v T, err error) {
-	err = fault.New(fault.Unavailable, fault.NotRun, "the store turns this host away")
-	if !s.skipDirect() {
-		v, err = direct(ctx)
+// both tries the direct way and then peers. Where hedge is set, peers are tried
+// already when the direct way has taken that long, so that a call on a connection
+// that has gone silent does not wait for its deadline.
+func both[T any](ctx context.Context, s *relayStore, hedge time.Duration, direct way[T], relay func(context.Context, string) (T, error)) (v T, err error) {
+	if s.skipDirect() {
+		none := fault.New(fault.Unavailable, fault.NotRun, "the store turns this host away")
+		o := viaPeers(ctx, s, outcome[T]{err: none}, relay)
+		return o.v, o.err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	done := make(chan outcome[T], 2)
+	go func() {
+		v, err := direct(ctx)
 		s.note(ctx, err)
-		if err == nil || answered(err) {
-			return v, err
+		done <- outcome[T]{v: v, err: err, direct: true}
+	}()
+	first, ok := await(done, hedge)
+	if ok {
+		if first.settled() {
+			return first.v, first.err
+		}
+		first = viaPeers(ctx, s, first, relay)
+		return first.v, first.err
+	}
+	none := fault.New(fault.Timeout, fault.Unknown, "the store has not answered yet")
+	go func() { done <- viaPeers(ctx, s, outcome[T]{err: none}, relay) }()
+	first = <-done
+	if !first.settled() {
+		second := <-done
+		if second.settled() || fault.RanOf(first.err) != fault.Unknown {
+			first = second
 		}
 	}
+	if !first.direct && first.settled() {
+		s.fail("a peer's call was answered first")
+	}
+	return first.v, first.err
+}
+
+// settled reports whether the store has answered, so that no other way is needed.
+func (o outcome[T]) settled() bool { return o.err == nil || answered(o.err) }
+
+// await waits for an outcome, for at most d if that is set.
+func await[T any](done <-chan outcome[T], d time.Duration) (o outcome[T], ok bool) {
+	if d == 0 {
+		return <-done, true
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case o = <-done:
+		return o, true
+	case <-t.C:
+		return o, false
+	}
+}
+
+// viaPeers tries peers after a way that has failed. An outcome that is unknown is
+// kept.
+func viaPeers[T any](ctx context.Context, s *relayStore, failed outcome[T], relay func(context.Context, string) (T, error)) outcome[T] {
 	for _, addr := range s.host.storePeers(relays) {
 		rctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), relayTimeout)
-		w, rerr := relay(rctx, addr)
+		v, err := relay(rctx, addr)
 		cancel()
-		if rerr == nil || answered(rerr) {
-			return w, rerr
+		if o := (outcome[T]{v: v, err: err}); o.settled() {
+			return o
 		}
-		if fault.RanOf(rerr) == fault.Unknown {
-			err = rerr
+		if fault.RanOf(err) == fault.Unknown {
+			failed.err = err
 		}
 	}
-	return v, err
+	return failed
 }
 
 const relayTimeout = 700 * time.Millisecond
 
 // Append adds records; see ports.Store.
 func (s *relayStore) Append(ctx context.Context, r ports.AppendRequest) (int64, error) {
-	return both(ctx, s,
+	return both(ctx, s, hedgeAfter,
 		func(ctx context.Context) (int64, error) { return s.direct.Append(ctx, r) },
 		func(ctx context.Context, addr string) (int64, error) {
 			a, err := frame.Call(ctx, s.host.pool, addr, appendMethod, r)
@@ -115,7 +193,11 @@
 
 // Read returns records; see ports.Store.
 func (s *relayStore) Read(ctx context.Context, r ports.ReadRequest) (ports.Page, error) {
-	return both(ctx, s,
+	hedge := hedgeAfter
+	if r.Wait > 0 {
+		hedge = 0
+	}
+	return both(ctx, s, hedge,
 		func(ctx context.Context) (ports.Page, error) { return s.direct.Read(ctx, r) },
 		func(ctx context.Context, addr string) (ports.Page, error) {
 			r.Wait = 0
@@ -126,7 +208,7 @@
 
 // Newest returns the newest record of each key; see ports.Store.
 func (s *relayStore) Newest(ctx context.Context, topic, after string) (ports.Newest, error) {
-	return both(ctx, s,
+	return both(ctx, s, 0,
 		func(ctx context.Context) (ports.Newest, error) { return s.direct.Newest(ctx, topic, after) },
 		func(ctx context.Context, addr string) (ports.Newest, error) {
 			a, err := frame.Call(ctx, s.host.pool, addr, newestMethod, newestMsg{Topic: topic, After: after})
--- /dev/null
+++ b/internal/node/gate/relay_test.go
@@ -0,0 +1,65 @@
+package gate
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/base/clock"
+	"lagooncourse/internal/base/fault"
+)
+
+// TestSilentStore was seen on fwl-numbering-grown, trouble-1: a store that was
+// silent for the owner alone held up every second append for 700 ms.
+func TestSilentStore(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	h := &Host{clock: c, log: logr.Discard(), peers: map[string]*peer{"b": {addr: "b", heard: c.Now(), storeOK: true}}}
+	s := &relayStore{host: h}
+	var directs atomic.Int32
+	silent := func(ctx context.Context) (int, error) {
+		directs.Add(1)
+		<-ctx.Done()
+		return 0, fault.New(fault.Timeout, fault.Unknown, "silent")
+	}
+	relay := func(context.Context, string) (int, error) { return 7, nil }
+	call := func() time.Duration {
+		ctx, cancel := context.WithTimeout(t.Context(), 700*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		v, err := both(ctx, s, hedgeAfter, silent, relay)
+		assert.NilError(t, err)
+		assert.Equal(t, v, 7)
+		return time.Since(began)
+	}
+	assert.Assert(t, call() < 350*time.Millisecond, "half the time-out")
+	assert.Equal(t, directs.Load(), int32(1))
+	call()
+	assert.Equal(t, directs.Load(), int32(1), "the direct way rests")
+	for range 6 {
+		c.Advance(retryDirect)
+		h.peers["b"].heard = c.Now()
+		call()
+	}
+	assert.Equal(t, directs.Load(), int32(3), "it rests longer after each failure")
+}
+
+// TestSlowStore lets the direct way win where the store is slow for everybody.
+func TestSlowStore(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	h := &Host{clock: c, log: logr.Discard(), peers: map[string]*peer{"b": {addr: "b", heard: c.Now(), storeOK: true}}}
+	s := &relayStore{host: h}
+	slow := func(v int) func(context.Context) (int, error) {
+		return func(context.Context) (int, error) {
+			time.Sleep(2 * hedgeAfter)
+			return v, nil
+		}
+	}
+	v, err := both(t.Context(), s, hedgeAfter, slow(1), func(ctx context.Context, _ string) (int, error) { return slow(2)(ctx) })
+	assert.NilError(t, err)
+	assert.Equal(t, v, 1)
+	assert.Assert(t, s.ok())
+}
