--- a/internal/cell/sched/floor.go
+++ b/internal/cell/sched/floor.go
@@ -41,8 +41,7 @@
 	return f
 }
 
-// later returns the workers in the order of the room that they
-// will have.
+// later returns the workers in the order of the room that they will have.
 func (f *floor) later(now Instant) []*Worker {
 	if f.byLater != nil {
 		return f.byLater
--- a/internal/cell/sched/gather.go
+++ b/internal/cell/sched/gather.go
@@ -111,16 +111,16 @@
 	size := pt.spec().charge()
 	answerMs := p.answerMs(pt, now)
 	mine := pt.key()
-	for _, again := range [...]bool{false, true} {
+	for _, mineFirst := range [...]bool{true, false} {
 		for _, w := range f.later(now) {
 			if w.laterRoom.CPU < size.CPU {
 				break
 			}
-			if w.keeps(mine, now) == again {
+			if w.keeps(mine, now) != mineFirst {
 				continue
 			}
 			if asked, ok := p.prospective(pt, w, now); ok {
-				c := prospect{w: w, room: slots(w.laterRoom, size, need)}
+				c := prospect{w: w, room: slots(w.laterRoom, size, p.apart(pt, w, need))}
 				known, unknown = p.classify(pt, c, asked, answerMs, known, unknown)
 			}
 		}
@@ -129,7 +129,7 @@
 }
 
 // prospective reports whether advice has been asked about a worker, and whether
-// members may run there as far as is known.
+// tasks of the part may run there as far as is known.
 func (p *Planner) prospective(pt *part, w *Worker, now Instant) (asked, ok bool) {
 	if !p.suits(w, pt, now) {
 		return false, false
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -284,17 +284,22 @@
 // roomFor returns how many more tasks of the part the worker can take, up to
 // most.
 func (p *Planner) roomFor(pt *part, w *Worker, most int, now Instant) int {
-	s := pt.spec()
 	if w.keptFrom(pt, p.queue(pt).Priority, now) {
 		return 0
 	}
-	if s.Apart > 0 {
-		most = min(most, s.Apart-p.onWorker(pt, w))
-	}
+	most = p.apart(pt, w, most)
 	if p.trust.State(w.ID, now.Ms) == trust.Probing {
 		most = min(most, p.probes(pt, w))
 	}
-	return max(slots(w.free(), s.charge(), most), 0)
+	return max(slots(w.free(), pt.spec().charge(), most), 0)
+}
+
+// apart cuts a number of tasks to what the worker may have of the part.
+func (p *Planner) apart(pt *part, w *Worker, most int) int {
+	if limit := pt.spec().Apart; limit > 0 {
+		return min(most, limit-p.onWorker(pt, w))
+	}
+	return most
 }
 
 // onWorker counts the part's tasks that are booked on the worker.
