--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -75,8 +75,8 @@
 // enough allowed workers have room, or nobody is left to ask about; otherwise
 // about workers that nobody has asked about yet, those with room and fast ones
 // first.
-func (p *Planner) want(pt *part, need int, f *floor, now Instant) (ids []string) {
-	stale, unknown, spare, have := p.asking(pt, need, f, now)
+func (p *Planner) want(pt *part, need int, ix *index, now Instant) (ids []string) {
+	stale, unknown, spare, have := p.asking(pt, need, ix, now)
 	switch {
 	case have < need && len(unknown) > 0, len(stale) == 0 && len(unknown) > 0:
 		ids = p.pick(pt, need-have, unknown)
@@ -97,10 +97,10 @@
 // asking returns the workers with room whose tickets have expired, those that
 // nobody has asked about, by their class of speed, a few without room that
 // nobody has asked about, and how many tasks the allowed ones have room for.
-func (p *Planner) asking(pt *part, need int, f *floor, now Instant) (stale []string, unknown []candidate, spare []string, have int) {
+func (p *Planner) asking(pt *part, need int, ix *index, now Instant) (stale []string, unknown []candidate, spare []string, have int) {
 	size := pt.spec().charge()
 	var classes [slowClasses][]candidate
-	for _, w := range f.byFree {
+	for _, w := range ix.byFree {
 		if tooSmall(w, size) && len(spare) >= leastAsk {
 			break
 		}
--- a/internal/cell/sched/gather.go
+++ b/internal/cell/sched/gather.go
@@ -57,10 +57,10 @@
 // waits: room that is there, if that will do; otherwise room that is expected.
 func (p *Planner) gather(pt *part, need int, plan *Plan, now Instant) {
 	p.rest(pt, now)
-	f := p.floorOf(p.queue(pt).Service, plan, now)
+	ix := p.indexOf(p.queue(pt).Service, plan, now)
 	inTime := p.standing(pt, now).rank == rankInTime
 	share := p.allowedShare(pt.job.Spec.Queue)
-	known, unknown := p.present(pt, f, need, now)
+	known, unknown := p.present(pt, ix, need, now)
 	chosen, missing := take(known, need)
 	if missing <= 0 || share*float64(sum(unknown)) >= float64(missing) {
 		p.keep(pt, chosen, inTime, plan, now)
@@ -70,7 +70,7 @@
 	if !inTime {
 		return
 	}
-	known, unknown = p.expected(pt, f, need, now)
+	known, unknown = p.expected(pt, ix, need, now)
 	if chosen, missing = take(known, need); missing > 0 {
 		p.askAll(pt, p.explore(pt, unknown, share, missing), plan, now)
 		return
@@ -90,10 +90,10 @@
 
 // present returns the workers that have room now: those that advice allows, and
 // those that nobody has asked about.
-func (p *Planner) present(pt *part, f *floor, need int, now Instant) (known, unknown []prospect) {
+func (p *Planner) present(pt *part, ix *index, need int, now Instant) (known, unknown []prospect) {
 	size := pt.spec().charge()
 	answerMs := p.answerMs(pt, now)
-	for _, w := range f.byFree {
+	for _, w := range ix.byFree {
 		if tooSmall(w, size) {
 			break
 		}
@@ -107,12 +107,12 @@
 
 // expected returns the workers that will have room within gatherMs, those that
 // are kept for the gang already first, so that the choice is stable.
-func (p *Planner) expected(pt *part, f *floor, need int, now Instant) (known, unknown []prospect) {
+func (p *Planner) expected(pt *part, ix *index, need int, now Instant) (known, unknown []prospect) {
 	size := pt.spec().charge()
 	answerMs := p.answerMs(pt, now)
 	mine := pt.key()
 	for _, mineFirst := range [...]bool{true, false} {
-		for _, w := range f.later(now) {
+		for _, w := range ix.later(now) {
 			if w.laterRoom.CPU < size.CPU {
 				break
 			}
--- a/internal/cell/sched/floor.go
+++ b/internal/cell/sched/index.go
@@ -9,49 +9,49 @@
 	"lagooncourse/internal/cell/trust"
 )
 
-// floor is a pool's workers as one plan sees them, those with most free
+// index is a pool's workers as one plan sees them, those with most free
 // processor time first. It is made once a plan, so that a part that fits
 // nowhere, or needs few workers, does not look at all of them. Bookings made
 // during the plan only take room away, so whoever uses the order checks the room
 // again.
-type floor struct {
+type index struct {
 	byFree  []*Worker
 	byLater []*Worker // by the room expected within gatherMs; nil until needed
 }
 
-// floorOf returns the workers of a pool that may be given work at all.
-func (p *Planner) floorOf(service string, plan *Plan, now Instant) *floor {
-	if f := plan.floors[service]; f != nil {
-		return f
+// indexOf returns the workers of a pool that may be given work at all.
+func (p *Planner) indexOf(service string, plan *Plan, now Instant) *index {
+	if ix := plan.indexes[service]; ix != nil {
+		return ix
 	}
-	f := &floor{}
+	ix := &index{}
 	for _, w := range p.workers {
 		if w.Service == service && p.available(w, now) {
-			w.floorCPU = w.free().CPU
-			f.byFree = append(f.byFree, w)
+			w.indexedCPU = w.free().CPU
+			ix.byFree = append(ix.byFree, w)
 		}
 	}
-	slices.SortFunc(f.byFree, func(x, y *Worker) int {
-		return cmp.Or(cmp.Compare(y.floorCPU, x.floorCPU), strings.Compare(x.ID, y.ID))
+	slices.SortFunc(ix.byFree, func(x, y *Worker) int {
+		return cmp.Or(cmp.Compare(y.indexedCPU, x.indexedCPU), strings.Compare(x.ID, y.ID))
 	})
-	if plan.floors == nil {
-		plan.floors = map[string]*floor{}
+	if plan.indexes == nil {
+		plan.indexes = map[string]*index{}
 	}
-	plan.floors[service] = f
-	return f
+	plan.indexes[service] = ix
+	return ix
 }
 
 // later returns the workers in the order of the room that they will have.
-func (f *floor) later(now Instant) []*Worker {
-	if f.byLater != nil {
-		return f.byLater
+func (ix *index) later(now Instant) []*Worker {
+	if ix.byLater != nil {
+		return ix.byLater
 	}
-	f.byLater = append(f.byLater, f.byFree...)
-	for _, w := range f.byLater {
+	ix.byLater = append(ix.byLater, ix.byFree...)
+	for _, w := range ix.byLater {
 		w.laterRoom = w.roomBy(now.Ms+gatherMs, now)
 	}
-	slices.SortStableFunc(f.byLater, func(x, y *Worker) int { return cmp.Compare(y.laterRoom.CPU, x.laterRoom.CPU) })
-	return f.byLater
+	slices.SortStableFunc(ix.byLater, func(x, y *Worker) int { return cmp.Compare(y.laterRoom.CPU, x.laterRoom.CPU) })
+	return ix.byLater
 }
 
 // available reports whether a worker may be given work at all.
@@ -68,5 +68,5 @@
 }
 
 // tooSmall reports whether neither the worker nor those after it in the order of
-// a floor have processor time for a task of the size.
-func tooSmall(w *Worker, size jobs.Size) bool { return w.floorCPU < size.CPU }
+// an index have processor time for a task of the size.
+func tooSmall(w *Worker, size jobs.Size) bool { return w.indexedCPU < size.CPU }
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -29,7 +29,7 @@
 	full    bool              // no desk was free; none will be before the next plan
 	counted bool              // kept has been counted
 	kept    int               // workers kept for gangs
-	floors  map[string]*floor // by pool
+	indexes map[string]*index // by pool
 }
 
 // mostPlanned bounds the starts of one plan, so that one append carries them.
@@ -130,7 +130,7 @@
 	if q.Advice == nil || pt.advice.asked > 0 || now.Ms < pt.advice.askMs || !plan.idle() {
 		return
 	}
-	ids := p.want(pt, need, p.floorOf(q.Service, plan, now), now)
+	ids := p.want(pt, need, p.indexOf(q.Service, plan, now), now)
 	if len(ids) == 0 {
 		return
 	}
@@ -213,7 +213,7 @@
 func (p *Planner) sites(pt *part, n int, plan *Plan, now Instant) []*Worker {
 	s := pt.spec()
 	var list []site
-	for _, w := range p.floorOf(p.queue(pt).Service, plan, now).byFree {
+	for _, w := range p.indexOf(p.queue(pt).Service, plan, now).byFree {
 		if tooSmall(w, s.charge()) {
 			break
 		}
--- a/internal/cell/sched/worker.go
+++ b/internal/cell/sched/worker.go
@@ -45,8 +45,8 @@
 	penalty int64 // no starts before this instant
 	kept    kept  // for a gang that waits
 
-	floorCPU  int64     // free when the plan began
-	laterRoom jobs.Size // expected within gatherMs, for the plan
+	indexedCPU int64     // free when the plan began
+	laterRoom  jobs.Size // expected within gatherMs, for the plan
 }
 
 func newWorker(info WorkerInfo) *Worker {
