--- a/internal/node/gate/relay.go
+++ b/internal/node/gate/relay.go
@@ -101,11 +101,13 @@
 	direct bool
 }
 
-// both tries the direct way and then peers. Where hedge is set, peers are tried
+// both tries the direct way and then peers. A direct way that has failed is left
+// out only while a peer could serve: after an outage of the store for everybody,
+// the direct way is the first that works again. Where hedge is set, peers are tried
 // already when the direct way has taken that long, so that a call on a connection
 // that has gone silent does not wait for its deadline.
 func both[T any](ctx context.Context, s *relayStore, hedge time.Duration, direct way[T], relay func(context.Context, string) (T, error)) (v T, err error) {
-	if s.skipDirect() {
+	if s.skipDirect() && len(s.host.storePeers(1)) > 0 {
 		none := fault.New(fault.Unavailable, fault.NotRun, "the store turns this host away")
 		o := viaPeers(ctx, s, outcome[T]{err: none}, relay)
 		return o.v, o.err
--- a/internal/node/gate/relay_test.go
+++ b/internal/node/gate/relay_test.go
@@ -47,6 +47,33 @@
 	assert.Equal(t, directs.Load(), int32(3), "it rests longer after each failure")
 }
 
+// TestOutageEnds was seen on both grown sites, trouble-3: after the store had been
+// down for everybody, hosts left the direct way alone for up to 3.2 s more.
+func TestOutageEnds(t *testing.T) {
+	c := clock.NewManual(time.Unix(1000, 0))
+	h := &Host{clock: c, log: logr.Discard(), peers: map[string]*peer{"b": {addr: "b", heard: c.Now()}}}
+	s := &relayStore{host: h}
+	var down atomic.Bool
+	down.Store(true)
+	direct := func(context.Context) (int, error) {
+		if down.Load() {
+			return 0, fault.New(fault.Unavailable, fault.NotRun, "reset")
+		}
+		return 7, nil
+	}
+	relay := func(context.Context, string) (int, error) {
+		return 0, fault.New(fault.Unavailable, fault.NotRun, "reset")
+	}
+	for range 8 {
+		_, err := both(t.Context(), s, hedgeAfter, direct, relay)
+		assert.ErrorContains(t, err, "reset")
+	}
+	down.Store(false)
+	v, err := both(t.Context(), s, hedgeAfter, direct, relay)
+	assert.NilError(t, err)
+	assert.Equal(t, v, 7)
+}
+
 // TestSlowStore lets the direct way win where the store is slow for everybody.
 func TestSlowStore(t *testing.T) {
 	c := clock.NewManual(time.Unix(1000, 0))
