Acknowledge ends only to the incarnation that listed them

Cause: workers number their ends from 1 in each incarnation. The heartbeat after a timeout on a silent connection carried the number of the former incarnation to the new one, which dropped ends that the owner had never read.

Change: a heartbeat that acknowledges ends goes only over the connection on which their incarnation has answered; a new connection begins with one that acknowledges nothing.

--- a/internal/node/lead/owner_test.go
+++ b/internal/node/lead/owner_test.go
@@ -104,17 +104,23 @@
 	return ports.Advice{Tickets: tickets}, 0, nil
 }
 
-func startTestOwner(t *testing.T, store ports.Store, r *recorder) *Owner {
+// testWorkers are workers with their advice service.
+type testWorkers interface {
+	ports.Workers
+	AdviceClient
+}
+
+func startTestOwner(t *testing.T, store ports.Store, r testWorkers) *Owner {
 	t.Helper()
 	return startOwnerWithClock(t, store, r, clock.System{})
 }
 
-func startOwnerWithClock(t *testing.T, store ports.Store, r *recorder, c clock.Clock) *Owner {
+func startOwnerWithClock(t *testing.T, store ports.Store, r testWorkers, c clock.Clock) *Owner {
 	t.Helper()
 	return startOwnerInEpoch(t, 1, store, r, c)
 }
 
-func startOwnerInEpoch(t *testing.T, epoch int64, store ports.Store, r *recorder, c clock.Clock) *Owner {
+func startOwnerInEpoch(t *testing.T, epoch int64, store ports.Store, r testWorkers, c clock.Clock) *Owner {
 	t.Helper()
 	state := sched.NewState()
 	state.Claim = sched.Claim{Epoch: epoch, Host: "h", Addr: "h"}
--- a/internal/node/lead/simulation_test.go
+++ b/internal/node/lead/simulation_test.go
@@ -43,6 +43,7 @@
 	ackBeforeStored             // ends are acknowledged before they are stored
 	noIncarnationCheck          // reports of a restarted worker are attributed to its first incarnation
 	noShrink                    // registry entries do not show that a worker has shrunk
+	noConnCheck                 // ends are acknowledged to whichever incarnation answers
 )
 
 // simOwner is a current or replaced owner.
@@ -305,11 +306,20 @@
 		if end > 0 {
 			o.planner.BeforeRenewal(info.ID, sim.now())
 		}
-		seen := o.planner.StoredSeq(info.ID)
+		req := ports.HeartbeatRequest{Peer: ports.Peer{ID: info.ID}, Token: o.epoch, LeaseEnd: end}
+		w, _ := o.planner.Worker(info.ID)
+		if c, known := o.clocks[info.ID]; known && w.Incarnation == c[2] || sim.disabled == noConnCheck {
+			req.Seen = o.planner.StoredSeq(info.ID)
+			req.SameConn = req.Seen > 0 && sim.disabled != noConnCheck
+		}
 		if sim.disabled == ackBeforeStored {
-			seen = o.planner.AppliedSeq(info.ID) + 1
+			req.Seen = o.planner.AppliedSeq(info.ID) + 1
+		}
+		h, err := sim.fleet.HeartbeatAt(req, sim.nowMs)
+		if err == ports.ErrConnClosed {
+			req.LeaseEnd, req.Seen, req.SameConn = 0, 0, false
+			h, err = sim.fleet.HeartbeatAt(req, sim.nowMs)
 		}
-		h, err := sim.fleet.HeartbeatAt(ports.HeartbeatRequest{Peer: ports.Peer{ID: info.ID}, Token: o.epoch, LeaseEnd: end, Seen: seen}, sim.nowMs)
 		if err != nil {
 			o.planner.HeartbeatFailed(info.ID)
 			delete(o.clocks, info.ID)
@@ -420,17 +430,58 @@
 	}
 }
 
+// runSilentRestarts simulates one minute in which workers restart while the connections
+// to them stay silent. Most tasks are short, so that they end before a restart is seen.
+func (sim *simulation) runSilentRestarts() {
+	for range 60_000 / simStepMs {
+		if sim.rand.Intn(3) == 0 && sim.nowMs < 50_000 {
+			sim.submitShort()
+		}
+		if sim.rand.Intn(40) == 0 {
+			sim.fleet.SilentReboot(sim.fleet.IDs()[sim.rand.Intn(8)], sim.nowMs)
+		}
+		sim.step()
+	}
+}
+
+// submitShort accepts a job with one short task.
+func (sim *simulation) submitShort() {
+	sim.jobs++
+	spec := sched.Spec{ID: fmt.Sprintf("%016x", sim.jobs), Queue: "batch", Team: "b", AcceptedMs: sim.nowMs, Steps: []sched.Step{
+		{Count: 1, Size: jobs.Size{CPU: 1000}, EstimateMs: 100},
+	}}
+	sim.fleet.RegisterJob(spec)
+	sim.owners[len(sim.owners)-1].planner.Accept(spec, sim.now())
+}
+
+// TestRestartOnSilentConns guards against tasks that run again although they are done:
+// their ends on a restarted worker were acknowledged by the number of an end that its
+// earlier incarnation had listed.
+func TestRestartOnSilentConns(t *testing.T) {
+	for seed := int64(1); seed <= int64(*simSeeds); seed++ {
+		sim := newSimulation(t, seed, noMutation)
+		sim.runSilentRestarts()
+		open := sim.finish()
+		assert.DeepEqual(t, sim.fleet.Violations(), []string(nil))
+		assert.Equal(t, open, 0, "seed %d: unfinished jobs of %d", seed, len(sim.storedJobs))
+	}
+}
+
 // TestSimulationDetectsMutations checks that the simulation detects each disabled
 // safeguard.
 func TestSimulationDetectsMutations(t *testing.T) {
 	for name, m := range map[string]mutation{
 		"no fence": noFence, "no wait for a lease": noLeaseWait, "acknowledged before stored": ackBeforeStored, "incarnation not checked": noIncarnationCheck,
-		"shrunk capacity not seen": noShrink,
+		"shrunk capacity not seen": noShrink, "acknowledged to another incarnation": noConnCheck,
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := int64(1); seed <= 40; seed++ {
 				sim := newSimulation(t, seed, m)
-				sim.run()
+				if m == noConnCheck {
+					sim.runSilentRestarts()
+				} else {
+					sim.run()
+				}
 				if open := sim.finish(); open > 0 || len(sim.fleet.Violations()) > 0 {
 					t.Logf("detected with seed %d: %d unfinished jobs, violation %q", seed, open, firstOrEmpty(sim.fleet.Violations()))
 					return
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -252,24 +252,52 @@
 	}
 }
 
-// heartbeat sends one heartbeat to a worker, which renews its lease and returns
-// its running tasks and ended runs. It reports whether some of the ended runs are
-// not stored yet.
-func (o *Owner) heartbeat(ctx context.Context, info sched.WorkerInfo) (unstoredEnds bool, err error) {
+// heartbeatRequest returns the next heartbeat to a worker, and whether the clock of its
+// incarnation is known. Ends are numbered by incarnation, and another one may have the
+// worker's address by now. So they are acknowledged only on the connection on which the
+// incarnation that listed them has answered. A call on a new connection acknowledges
+// nothing and shows which incarnation answers there.
+func (o *Owner) heartbeatRequest(info sched.WorkerInfo) (req ports.HeartbeatRequest, clockKnown bool) {
 	o.mu.Lock()
-	_, clockKnown := o.workerClocks[info.ID]
-	req := ports.HeartbeatRequest{
+	defer o.mu.Unlock()
+	c, clockKnown := o.workerClocks[info.ID]
+	req = ports.HeartbeatRequest{
 		Peer: ports.Peer{ID: info.ID, Addr: info.Addr}, Token: o.cfg.Claim.Epoch, LeaseEnd: o.renewedLeaseEnd(info.ID),
-		Seen: o.planner.StoredSeq(info.ID),
 	}
-	o.mu.Unlock()
-	if clockKnown {
-		req.Wait = heartbeatWait
+	if !clockKnown {
+		return req, false
 	}
-	sent := o.now()
+	req.Wait = heartbeatWait
+	if w, _ := o.planner.Worker(info.ID); w.Incarnation == c.incarnation {
+		req.Seen = o.planner.StoredSeq(info.ID)
+		req.SameConn = req.Seen > 0
+	}
+	return req, true
+}
+
+// callHeartbeat sends a heartbeat with its timeout.
+func (o *Owner) callHeartbeat(ctx context.Context, req ports.HeartbeatRequest) (ports.HeartbeatResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, req.Wait+heartbeatTimeout)
 	defer cancel()
-	h, err := o.cfg.Workers.Heartbeat(ctx, req)
+	return o.cfg.Workers.Heartbeat(ctx, req)
+}
+
+// heartbeat sends one heartbeat to a worker, which renews its lease and returns
+// its running tasks and ended runs. It reports whether some of the ended runs are
+// not stored yet.
+func (o *Owner) heartbeat(ctx context.Context, info sched.WorkerInfo) (unstoredEnds bool, err error) {
+	req, clockKnown := o.heartbeatRequest(info)
+	sent := o.now()
+	h, err := o.callHeartbeat(ctx, req)
+	if errors.Is(err, ports.ErrConnClosed) { // the worker may have restarted
+		o.log.Info("worker has closed its connection", "worker", info.ID, "incarnation", info.Incarnation, "unacknowledged", req.Seen)
+		o.mu.Lock()
+		delete(o.workerClocks, info.ID)
+		o.mu.Unlock()
+		req, clockKnown = o.heartbeatRequest(info)
+		sent = o.now()
+		h, err = o.callHeartbeat(ctx, req)
+	}
 	readAt := o.cfg.Clock.Now()
 	o.cfg.Metrics.countHeartbeat(err)
 	o.mu.Lock()
--- a/internal/plat/fakes/simfleet.go
+++ b/internal/plat/fakes/simfleet.go
@@ -80,6 +80,8 @@
 	backAtMs    int64              // when a crashed worker is back
 	newID       bool               // it is back with a new ID
 	silentMs    int64              // when its registry entry is deleted
+	conns       map[int64]int64    // incarnation that answered the last heartbeat, by fencing token
+	cutUntilMs  int64              // heartbeats on connections to earlier incarnations get no answer before this time
 }
 
 // room is an earlier capacity of a worker. It counts for orders that are sent before
@@ -144,6 +146,7 @@
 	gangTimeoutMs = 3_000  // time that a gang member waits for the other members
 	entryExpiryMs = 4_500  // time after which the registry entry of a silent worker is deleted
 	shrinkGraceMs = 4_500  // time for which a capacity that has shrunk counts: 3 s and the interval of registry entries
+	silentConnMs  = 1_100  // timeout of a heartbeat on a silent connection
 )
 
 // NewSimFleet returns simulated workers without runs.
@@ -156,7 +159,7 @@
 	for i := range cfg.Workers {
 		rack := fmt.Sprintf("r%d", i/max(cfg.Rack, 1))
 		id := fmt.Sprintf("w%d", i)
-		f.workers[id] = &simWorker{
+		f.workers[id] = &simWorker{conns: map[int64]int64{},
 			info: sched.WorkerInfo{
 				ID: id, Addr: id, Service: cfg.Service, Az: cfg.Azs[i%len(cfg.Azs)], Rack: rack, Labels: []string{"a", rack},
 				Capacity: cfg.Capacity, Incarnation: 1,
@@ -261,6 +264,15 @@
 	w.boot(nowMs)
 }
 
+// SilentReboot restarts a worker like Reboot. Connections that were open stay silent for
+// some time, while new ones work.
+func (f *SimFleet) SilentReboot(id string, nowMs int64) {
+	f.Reboot(id, nowMs)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].cutUntilMs = nowMs + silentConnMs
+}
+
 // boot starts a new incarnation of a worker.
 func (w *simWorker) boot(nowMs int64) {
 	w.info.Incarnation++
@@ -669,9 +681,19 @@
 	if err != nil {
 		return ports.HeartbeatResponse{}, err
 	}
+	if conn := w.conns[r.Token]; conn != 0 && conn != w.info.Incarnation {
+		if nowMs < w.cutUntilMs {
+			return ports.HeartbeatResponse{}, errNoAnswer
+		}
+		delete(w.conns, r.Token)
+	}
+	if r.SameConn && w.conns[r.Token] == 0 {
+		return ports.HeartbeatResponse{}, ports.ErrConnClosed
+	}
 	if err := w.checkToken(r.Token); err != nil {
 		return ports.HeartbeatResponse{}, err
 	}
+	w.conns[r.Token] = w.info.Incarnation
 	if r.Token >= f.maxToken() {
 		w.endOldRoom(nowMs)
 	}
--- a/internal/plat/ports/ports.go
+++ b/internal/plat/ports/ports.go
@@ -20,6 +20,7 @@
 	"errors"
 	"time"
 
+	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/jobs"
 	"lagooncourse/internal/cell/sched"
 )
@@ -181,8 +182,16 @@
 	LeaseEnd int64         // on the worker's clock, in milliseconds; 0 does not renew the lease
 	Seen     int64         // acknowledges the finished runs with numbers up to this one; the worker may drop them
 	Wait     time.Duration // long poll: how long the worker may wait for a change
+
+	// SameConn sends the request only on the connection of the last answered heartbeat
+	// to this address, so that it reaches the process that gave that answer or none. The
+	// error is ErrConnClosed if the connection is closed.
+	SameConn bool
 }
 
+// ErrConnClosed is the error of a request with SameConn that was not sent.
+var ErrConnClosed = fault.New(fault.Unavailable, fault.NotRun, "the connection of the last heartbeat is closed")
+
 // HeartbeatResponse lists the running and the unacknowledged finished runs of a worker.
 type HeartbeatResponse struct {
 	ClockMs     int64 // time of the worker's clock, in milliseconds
