Bound the planner's work on the dependencies of a job's steps

Cause: dependsOn in sched/order.go walked every path between two steps, some 3^20 for the side step of this job, in each plan and with the owner's mutex held.

--- a/internal/cell/sched/order.go
+++ b/internal/cell/sched/order.go
@@ -58,7 +58,7 @@
 func (p *Planner) rankStep(si *stepInstance, now Instant) rankedStep {
 	q := p.queue(si)
 	s := rankedStep{si: si, priority: q.Priority, deadlineMs: si.deadlineMs}
-	end := now.WallMs + p.remainingMs(si)
+	end := now.WallMs + p.estimatedGraph(si.job).remainingMs[si.step]
 	uselessAfterMs := si.dueMs + lateFactor*(si.deadlineMs-si.dueMs)
 	switch {
 	case si.spec().LongRunning && !si.job.Spec.Excess: // has no end, so it can't be late
@@ -73,29 +73,6 @@
 	return s
 }
 
-// remainingMs estimates the run time of a step and all steps that depend on it, as
-// if they ran one after another, in ms.
-func (p *Planner) remainingMs(si *stepInstance) int64 {
-	var ms int64
-	for i := si.step; i < len(si.job.Spec.Steps); i++ {
-		if i == si.step || dependsOn(si.job.Spec.Steps, i, si.step) {
-			ms += p.estimator.runMs(si.job.Spec.Queue, si.job.Spec.Steps[i])
-		}
-	}
-	return ms
-}
-
-// dependsOn reports whether step i depends on step target, directly or
-// indirectly. Steps depend only on steps before them.
-func dependsOn(steps []Step, i, target int) bool {
-	for _, d := range steps[i].DependsOn {
-		if d == target || d > target && dependsOn(steps, d, target) {
-			return true
-		}
-	}
-	return false
-}
-
 // rankHeap is a heap whose root is the last in order.
 type rankHeap []rankedStep
 
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -134,6 +134,7 @@
 	trust          *trust.Tracker
 	allowedShares  map[string]*allowedShare // share of the workers that advice allows, by queue
 	estimator      estimator
+	runsRecorded   int                     // by the estimator
 	buckets        map[string]*tokenBucket // by team
 	ended          []endedJob              // by time of their end
 	endings        []Ending                // since the last TakeEndings
@@ -301,8 +302,9 @@
 	if waiting == 0 || s.Gang && waiting < s.Count {
 		return false
 	}
-	for _, d := range s.DependsOn {
-		if done, _ := countTasks(si.job.stepTasks(si.occ, d)); done < si.job.Spec.Steps[d].Count {
+	deps := si.job.stepGraph().deps[si.step]
+	for i := len(deps) - 1; i >= 0; i-- { // the last ones are the least likely to be done
+		if !si.job.stepDone(si.occ, deps[i]) {
 			return false
 		}
 	}
@@ -319,15 +321,7 @@
 		si.dueMs = spec.FirstMs + int64(si.occ)*spec.IntervalMs
 	}
 	q := p.policy.Queues[spec.Queue]
-	ends := make([]int64, len(spec.Steps))
-	var criticalPath int64
-	for i, s := range spec.Steps {
-		for _, d := range s.DependsOn {
-			ends[i] = max(ends[i], ends[d])
-		}
-		ends[i] += p.estimator.runMs(spec.Queue, s)
-		criticalPath = max(criticalPath, ends[i])
-	}
+	criticalPath := p.estimatedGraph(si.job).criticalPath
 	si.deadlineMs = si.dueMs + int64(q.Slack*float64(criticalPath)) + q.TargetMs
 }
 
@@ -339,6 +333,7 @@
 	p.dirty[id] = true
 	p.ended = append(p.ended, endedJob{id, now.Ms})
 	p.endings = append(p.endings, Ending{Job: id, Verdict: v})
+	j.graph = nil
 	for occ := range j.occurrences() {
 		for step := range j.Spec.Steps {
 			key := stepKey{id, occ, step}
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -418,6 +418,7 @@
 		return
 	}
 	if a != nil && a.run == f.Run && a.phase == phaseRunning && f.Reason == EndDone && j.task(ref) != nil {
+		p.runsRecorded++
 		p.estimator.recordRun(j.Spec.Queue, w.ID, j.Spec.Steps[ref.Step], now.Ms-a.phaseStartMs)
 	}
 	t := j.task(ref)
--- a/internal/cell/sched/state.go
+++ b/internal/cell/sched/state.go
@@ -20,8 +20,9 @@
 	Spec     Spec
 	Progress Progress
 
-	firstTask   []int // index of the first task of each step within an occurrence
-	tasksPerOcc int   // number of tasks of one occurrence
+	firstTask   []int  // index of the first task of each step within an occurrence
+	tasksPerOcc int    // number of tasks of one occurrence
+	graph       *graph // see stepGraph
 
 	suspectsStored bool // a record of its suspects may be stored
 }
