Store records of any length, and tell a refusal for good from no answer

Cause: the progress record of the job had 352,830 bytes, the store takes 262,144, and the owner repeated the refused append (413) every 25 ms for good, since it counted as no answer. One loop writes the records of all jobs.

TestAcceptedIsNotLost knew of records only by the key of a whole one; it now reads parts too and applies all that is left in the store. The owner's tests set larger limits, since their jobs of 2 MiB would be refused.

--- a/internal/cell/sched/batch.go
+++ b/internal/cell/sched/batch.go
@@ -7,10 +7,19 @@
 	Values   [][]byte
 	Accepted []string // IDs of the accepted jobs
 	Complete bool     // it contains all records that remained to be stored
+	units    []batchUnit
+	size     int // of its records, in bytes
 	verdicts map[string]Verdict
 	endMarks map[string]endMark // by worker
 }
 
+// batchUnit is records of one job in a batch, from index from to before index to.
+type batchUnit struct {
+	job      string
+	from, to int
+	accepted bool // they store the acceptance of the job
+}
+
 // endMark is the sequence number of the last end that was applied, and the worker
 // incarnation that it belongs to.
 type endMark struct {
@@ -21,15 +30,105 @@
 // Empty reports whether the batch has no records.
 func (b *Batch) Empty() bool { return len(b.Keys) == 0 }
 
-// A batch that has reached maxBatchBytes takes no more records. The store accepts
-// up to 2 MB a call.
+// A batch that has reached maxBatchBytes takes no more records.
 const maxBatchBytes = 1 << 20
 
+// add adds a record.
+func (b *Batch) add(key string, value []byte) {
+	b.Keys, b.Values = append(b.Keys, key), append(b.Values, value)
+	b.size += recordLengths + len(key) + len(value)
+}
+
+// endUnit ends the records of a job.
+func (b *Batch) endUnit(job string, accepted bool) {
+	from := 0
+	if n := len(b.units); n > 0 {
+		from = b.units[n-1].to
+	}
+	b.units = append(b.units, batchUnit{job, from, len(b.Keys), accepted})
+}
+
+// ByJob returns the records of each job in b as a batch of its own, in the same order.
+func (b *Batch) ByJob() (list []*Batch) {
+	for _, u := range b.units {
+		one := &Batch{Keys: b.Keys[u.from:u.to], Values: b.Values[u.from:u.to], verdicts: map[string]Verdict{}}
+		one.units = []batchUnit{{u.job, 0, u.to - u.from, u.accepted}}
+		if u.accepted {
+			one.Accepted = []string{u.job}
+		} else if v, ok := b.verdicts[u.job]; ok {
+			one.verdicts[u.job] = v
+		}
+		list = append(list, one)
+	}
+	return list
+}
+
+// Job returns the job whose records a batch of ByJob holds.
+func (b *Batch) Job() string { return b.units[0].job }
+
+// recordLengths is the length of the lengths of a record and of its key, in bytes.
+const recordLengths = 5
+
+// fits reports whether the records of values fit into the same append. A first value
+// always does; see CheckSize.
+func (b *Batch) fits(c Config, values ...[]byte) bool {
+	n := b.size
+	for _, v := range values {
+		n += len(v) + recordOverhead*(2+len(v)/(c.recordBytes()-recordOverhead))
+	}
+	return b.Empty() || b.size < min(maxBatchBytes, c.appendBytes()/2) && n <= c.appendBytes()
+}
+
 // RetentionMarginMs is added to the retention time of an ended job. The time counts
 // from the verdict, which may be stored and shown later, and after a takeover it is
 // measured on the wall clocks of two hosts.
 const RetentionMarginMs = 30_000
 
+// Refused is called when the store has refused a batch of ByJob for good. A job that is
+// not stored is removed: it never runs. One that is stored gives up its checkpoints, which
+// are all that may have made its records too long. If they are refused even so, the job is
+// set aside: no records of it are written and nothing of it is started, and no ends are
+// acknowledged, since some may be of its tasks.
+func (p *Planner) Refused(b *Batch, now Instant) (setAside bool) {
+	id := b.Job()
+	j := p.state.Jobs[id]
+	if j == nil {
+		return false
+	}
+	if b.units[0].accepted {
+		p.remove(id)
+		return false
+	}
+	p.withdrawUnstored(j, now)
+	switch {
+	case j.checkpointBytes > 0:
+		j.checkpointBytes, j.checkpointsFull = 0, true
+		for i := range j.Progress.Tasks {
+			j.Progress.Tasks[i].Checkpoint = ""
+		}
+		p.dirty[id] = true
+	default:
+		p.setAside[id] = true
+	}
+	return p.setAside[id]
+}
+
+// withdrawUnstored withdraws the starts of a job whose intents are not stored.
+func (p *Planner) withdrawUnstored(j *Job, now Instant) {
+	for _, w := range p.workers {
+		for ref, a := range w.allocations {
+			if ref.Job == j.Spec.ID && a.phase == phaseIntent {
+				p.release(w, ref)
+				p.withdrawTrial(ref, a.run)
+				p.requeue(ref, a.run, now)
+			}
+		}
+	}
+}
+
+// IsSetAside reports whether the records of a job can't be stored; see Refused.
+func (p *Planner) IsSetAside(id string) bool { return p.setAside[id] }
+
 // HasUnstored reports whether progress or accepted jobs have to be stored. It ignores
 // jobs whose retention has ended.
 func (p *Planner) HasUnstored() bool {
@@ -40,47 +139,33 @@
 // then progress, then deletions of jobs whose retention has ended.
 func (p *Planner) TakeBatch(now Instant) (*Batch, error) {
 	b := &Batch{verdicts: map[string]Verdict{}, endMarks: map[string]endMark{}}
-	size := 0
-	add := func(key string, value []byte, err error) error {
+	for len(p.newSpecs) > 0 {
+		s := p.newSpecs[0]
+		key, value, err := SpecRecord(s)
 		if err != nil {
-			return err
+			return nil, err
+		}
+		if !b.fits(p.cfg, value) {
+			return b, nil
 		}
-		b.Keys, b.Values = append(b.Keys, key), append(b.Values, value)
-		size += len(key) + len(value)
-		return nil
-	}
-	for len(p.newSpecs) > 0 && size < maxBatchBytes {
-		s := p.newSpecs[0]
 		p.newSpecs = p.newSpecs[1:]
-		if err := add(SpecRecord(s)); err != nil {
+		if err := p.addValue(b, key, value); err != nil {
 			return nil, err
 		}
 		b.Accepted = append(b.Accepted, s.ID)
-	}
-	if len(p.newSpecs) > 0 {
-		return b, nil
+		b.endUnit(s.ID, true)
 	}
 	for id := range p.dirty {
-		if size >= maxBatchBytes {
-			return b, nil // ends are acknowledged only after all progress is stored
-		}
-		delete(p.dirty, id)
-		j := p.state.Jobs[id]
-		if j == nil {
-			continue
-		}
-		if err := add(ProgressRecord(id, j.Progress)); err != nil {
+		added, err := p.addProgress(b, id)
+		if err != nil {
 			return nil, err
 		}
-		if list := j.suspects(); len(list) > 0 || j.suspectsStored {
-			j.suspectsStored = true
-			if err := add(suspectsRecord(id, list)); err != nil {
-				return nil, err
-			}
+		if !added {
+			return b, nil // ends are acknowledged only after all progress is stored
 		}
-		b.verdicts[id] = j.Progress.Verdict
+		delete(p.dirty, id)
 	}
-	for len(p.ended) > 0 && now.Ms-p.ended[0].atMs > p.cfg.RetentionMs+RetentionMarginMs && size < maxBatchBytes {
+	for len(p.ended) > 0 && now.Ms-p.ended[0].atMs > p.cfg.RetentionMs+RetentionMarginMs && b.fits(p.cfg) {
 		id := p.ended[0].id
 		p.ended = p.ended[1:]
 		j := p.state.Jobs[id]
@@ -88,14 +173,16 @@
 			continue
 		}
 		for _, key := range j.dropKeys() {
-			_ = add(key, nil, nil) // a record without a value deletes its key
+			p.deleteParts(b, key, 0)
+			b.add(key, nil) // a record without a value deletes its key
 		}
+		b.endUnit(id, false)
 		delete(p.state.Jobs, id)
 		delete(p.storedVerdicts, id)
 		delete(p.storedJobs, id)
 	}
 	for id, w := range p.workers {
-		if w.appliedSeq > w.storedSeq {
+		if w.appliedSeq > w.storedSeq && len(p.setAside) == 0 {
 			b.endMarks[id] = endMark{w.Incarnation, w.appliedSeq}
 		}
 	}
@@ -103,6 +190,40 @@
 	return b, nil
 }
 
+// addProgress adds the records of a job's progress, and reports whether they fit.
+func (p *Planner) addProgress(b *Batch, id string) (added bool, err error) {
+	j := p.state.Jobs[id]
+	if j == nil || p.setAside[id] {
+		return true, nil
+	}
+	key, value, err := ProgressRecord(id, j.Progress)
+	if err != nil {
+		return false, err
+	}
+	var suspectsKey string
+	var suspects []byte
+	if list := j.suspects(); len(list) > 0 || j.suspectsStored {
+		if suspectsKey, suspects, err = suspectsRecord(id, list); err != nil {
+			return false, err
+		}
+	}
+	if !b.fits(p.cfg, value, suspects) {
+		return false, nil
+	}
+	if err := p.addValue(b, key, value); err != nil {
+		return false, err
+	}
+	if suspectsKey != "" {
+		j.suspectsStored = true
+		if err := p.addValue(b, suspectsKey, suspects); err != nil {
+			return false, err
+		}
+	}
+	b.verdicts[id] = j.Progress.Verdict
+	b.endUnit(id, false)
+	return true, nil
+}
+
 // Stored is called after the records of a batch have been stored.
 func (p *Planner) Stored(b *Batch) {
 	for _, id := range b.Accepted {
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -50,7 +50,7 @@
 		if len(plan.Starts) >= maxPlanStarts {
 			break
 		}
-		if si.job.Progress.Verdict == Open { // the job may have failed in this plan
+		if si.job.Progress.Verdict == Open && !p.setAside[si.job.Spec.ID] { // the job may have failed in this plan
 			p.place(si, &plan, now)
 		}
 	}
@@ -493,7 +493,7 @@
 // worker usable and its ticket valid.
 func (p *Planner) sendable(s Start, now Instant) bool {
 	si, w := p.steps[s.stepKey], p.workers[s.Worker]
-	if si == nil || w == nil || w.Incarnation != s.Incarnation || p.allocationOf(w, s) == nil || !p.usable(w, si, now) {
+	if si == nil || w == nil || p.setAside[s.Ref.Job] || w.Incarnation != s.Incarnation || p.allocationOf(w, s) == nil || !p.usable(w, si, now) {
 		return false
 	}
 	_, ok := p.ticket(w, si, now)
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -73,6 +73,8 @@
 	LeaseMs          int64  // duration of the lease that a renewal requests
 	MaxLeaseMs       int64  // longest lease that a worker grants
 	RetentionMs      int64  // how long an ended job is retained
+	RecordBytes      int    // longest record that the store takes; 0 means 256 KiB
+	AppendBytes      int    // longest append that the store takes; 0 means 2 MiB
 }
 
 // Margins added to the duration of a lease.
@@ -139,6 +141,8 @@
 	ended          []endedJob              // by time of their end
 	endings        []Ending                // since the last TakeEndings
 	crashes        []Crash                 // not taken by TakeCrashes yet
+	fullJobs       []string                // not taken by TakeFullJobs yet
+	setAside       map[string]bool         // jobs whose records the store refuses; see Refused
 	losses         []workerLoss            // recent losses of workers
 	verdicts       map[Ref]workerLoss      // suspects that will be given up unless their loss was an outage
 }
@@ -156,7 +160,7 @@
 		cfg: cfg, state: cfg.State, tickMs: now.Ms, workers: map[string]*Worker{}, used: map[string]jobs.Size{},
 		steps: map[stepKey]*stepInstance{}, waiting: map[stepKey]*stepInstance{}, dirty: map[string]bool{},
 		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{}), allowedShares: map[string]*allowedShare{},
-		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]workerLoss{},
+		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]workerLoss{}, setAside: map[string]bool{},
 	}
 	for id, j := range cfg.State.Jobs {
 		p.storedJobs[id] = true
@@ -168,6 +172,9 @@
 			p.ended = append(p.ended, endedJob{id, now.Ms - max(now.WallMs-j.Progress.EndMs, 0)})
 			continue
 		}
+		for _, t := range j.Progress.Tasks {
+			j.checkpointBytes += len(t.Checkpoint)
+		}
 		p.addSteps(j, now)
 	}
 	sort.Slice(p.ended, func(a, b int) bool { return p.ended[a].atMs < p.ended[b].atMs })
@@ -467,6 +474,12 @@
 		return false
 	}
 	p.newSpecs = slices.Delete(p.newSpecs, i, i+1)
+	p.remove(id)
+	return true
+}
+
+// remove removes a job that is not stored.
+func (p *Planner) remove(id string) {
 	j := p.state.Jobs[id]
 	for occ := range j.occurrences() {
 		for step := range j.Spec.Steps {
@@ -484,7 +497,6 @@
 	delete(p.dirty, id)
 	p.ended = slices.DeleteFunc(p.ended, func(e endedJob) bool { return e.id == id })
 	p.endings = slices.DeleteFunc(p.endings, func(e Ending) bool { return e.Job == id })
-	return true
 }
 
 // Cancel cancels a job and reports whether the job exists.
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -449,19 +449,45 @@
 	}
 }
 
-// saveCheckpoint stores a checkpoint of a task. The checkpoint of one gang member
-// is valid for the whole gang.
+// saveCheckpoint stores a checkpoint of a task. The checkpoint of one gang member is valid
+// for the whole gang. If the job's checkpoints would become too long, the task keeps the
+// earlier one, which costs the work since then; see checkpointBudget.
 func (p *Planner) saveCheckpoint(j *Job, ref Ref, checkpoint string) {
+	tasks := j.stepTasks(ref.Occ, ref.Step)
 	if !j.Spec.Steps[ref.Step].Gang {
-		j.task(ref).Checkpoint = checkpoint
+		tasks = tasks[ref.Index : ref.Index+1]
+	}
+	total := j.checkpointBytes
+	for _, t := range tasks {
+		total += len(checkpoint) - len(t.Checkpoint)
+	}
+	if total > p.cfg.checkpointBudget() {
+		if !j.checkpointsFull {
+			j.checkpointsFull = true
+			p.fullJobs = append(p.fullJobs, j.Spec.ID)
+		}
 		return
 	}
-	tasks := j.stepTasks(ref.Occ, ref.Step)
+	j.checkpointBytes = total
 	for i := range tasks {
 		tasks[i].Checkpoint = checkpoint
 	}
 }
 
+// TakeFullJobs returns the jobs of which a checkpoint was not kept for the first time
+// since the last call.
+func (p *Planner) TakeFullJobs() []string {
+	list := p.fullJobs
+	p.fullJobs = nil
+	return list
+}
+
+// finishTask marks a task as done. Its checkpoint is of no use any more.
+func (j *Job) finishTask(t *Task) {
+	j.checkpointBytes -= len(t.Checkpoint)
+	t.State, t.Checkpoint = Done, ""
+}
+
 // updateTask updates the state of a task after the end of its latest run.
 func (p *Planner) updateTask(j *Job, ref Ref, t *Task, f Finished, now Instant) {
 	s := j.Spec.Steps[ref.Step]
@@ -471,10 +497,10 @@
 	case f.Reason == EndDone && s.Gang:
 		tasks := j.stepTasks(ref.Occ, ref.Step)
 		for i := range tasks {
-			tasks[i].State = Done
+			j.finishTask(&tasks[i])
 		}
 	case f.Reason == EndDone:
-		t.State = Done
+		j.finishTask(t)
 	case f.Reason == EndFailed:
 		p.countFailure(j, ref, t, f, now)
 	default:
--- a/internal/cell/sched/state.go
+++ b/internal/cell/sched/state.go
@@ -25,6 +25,9 @@
 	graph       *graph // see stepGraph
 
 	suspectsStored bool // a record of its suspects may be stored
+
+	checkpointBytes int  // total length of the checkpoints of its tasks
+	checkpointsFull bool // a checkpoint was not kept; see checkpointBudget
 }
 
 // State is the result of applying the records of the job topic. It depends only
@@ -36,11 +39,12 @@
 
 	earlyProgress map[string]Progress  // progress records that were applied before their spec, by job
 	earlySuspects map[string][]suspect // the same for records of suspects
+	parts         map[string]*partSet  // values that are stored in parts, by key
 }
 
 // NewState returns the state of an empty topic.
 func NewState() *State {
-	return &State{Jobs: map[string]*Job{}, earlyProgress: map[string]Progress{}, earlySuspects: map[string][]suspect{}}
+	return &State{Jobs: map[string]*Job{}, earlyProgress: map[string]Progress{}, earlySuspects: map[string][]suspect{}, parts: map[string]*partSet{}}
 }
 
 // newJob returns a job with all tasks waiting.
@@ -93,6 +97,8 @@
 		return s.applyProgress(id, value)
 	case suspectPrefix:
 		return s.applySuspects(id, value)
+	case partPrefix:
+		return s.applyPart(key, value)
 	}
 	return merry.New("record key has an unknown prefix")
 }
--- a/internal/node/gate/accept_model_test.go
+++ b/internal/node/gate/accept_model_test.go
@@ -265,25 +265,28 @@
 // observe applies a record to the mirror. A record must not take back what earlier ones
 // say about its job.
 func (s *modelStore) observe(r ports.Record) {
-	id := r.Key[1:]
+	key, isPart := strings.CutPrefix(r.Key, "x")
+	if isPart {
+		key = key[:strings.LastIndexByte(key, '.')]
+	}
+	id := key[1:]
 	j := s.mirror.Jobs[id]
 	var before sched.Progress
 	if j != nil {
 		before = j.Progress
 	}
-	if strings.HasPrefix(r.Key, "j") {
-		if len(r.Value) == 0 {
-			s.dropped(id, before)
-		} else {
-			s.m.jobs[id].stored = true
-			s.m.maybeLoseHosts()
-		}
+	if strings.HasPrefix(r.Key, "j") && len(r.Value) == 0 {
+		s.dropped(id, before)
 	}
 	if err := s.mirror.Apply(r.Key, r.Value); err != nil {
 		s.m.violation("record %q: %v", r.Key, err)
 		return
 	}
-	if strings.HasPrefix(r.Key, "p") && len(r.Value) > 0 && j != nil {
+	if strings.HasPrefix(key, "j") && len(r.Value) > 0 && s.mirror.Jobs[id] != nil {
+		s.m.jobs[id].stored = true // with its last part, if it has several
+		s.m.maybeLoseHosts()
+	}
+	if strings.HasPrefix(key, "p") && len(r.Value) > 0 && j != nil {
 		s.checkProgress(id, before, j.Progress)
 	}
 }
@@ -1191,9 +1194,15 @@
 	for _, id := range m.open() {
 		m.violation("job %s has not ended: %+v", id, m.store.mirror.Jobs[id].Progress)
 	}
+	left := sched.NewState() // what a host reads that has none of the earlier records
+	for key, r := range m.store.newest {
+		if err := left.Apply(key, r.Value); err != nil {
+			m.violation("record %q: %v", key, err)
+		}
+	}
 	for _, id := range m.ids {
 		j := m.jobs[id]
-		if !j.acceptedAt.IsZero() && m.store.newest["j"+id].Key == "" {
+		if !j.acceptedAt.IsZero() && left.Jobs[id] == nil {
 			m.violation("job %s was accepted and is not in the store", id)
 		}
 		if j.answers > 0 && j.answers == j.notRun && (j.stored || j.started) {
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -81,6 +81,8 @@
 
 	RetentionMs int64 // retention time of ended jobs
 	MaxLeaseMs  int64 // longest lease that a worker grants, in ms
+	RecordBytes int   // longest record that the store takes; 0 means the default of package sched
+	AppendBytes int   // longest append that the store takes; 0 means the default of package sched
 	Clock       clock.Clock
 	Logger      logr.Logger
 }
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -64,6 +64,8 @@
 	Metrics      *Metrics
 	RetentionMs  int64 // retention time of ended jobs
 	MaxLeaseMs   int64 // longest lease that a worker grants, in ms
+	RecordBytes  int   // longest record that the store takes; 0 means the default of package sched
+	AppendBytes  int   // longest append that the store takes; 0 means the default of package sched
 }
 
 // Intervals, timeouts and limits of an owner.
@@ -148,6 +150,7 @@
 	}
 	o.planner = sched.NewPlanner(sched.Config{
 		State: cfg.State, PrevOwnerRenewMs: maxConfirmAgeMs, LeaseMs: o.leaseDurationMs(), MaxLeaseMs: cfg.MaxLeaseMs, RetentionMs: cfg.RetentionMs,
+		RecordBytes: cfg.RecordBytes, AppendBytes: cfg.AppendBytes,
 	}, o.now())
 	o.planner.SetPolicy(cfg.Policy)
 	o.log.Info("took over", "jobs", len(cfg.State.Jobs), "offset", cfg.State.NextOffset)
@@ -234,6 +237,10 @@
 		o.mu.Unlock()
 		return nil
 	}
+	if err := o.planner.CheckSize(spec); err != nil {
+		o.mu.Unlock()
+		return err
+	}
 	if err := o.admit(); err != nil {
 		defer o.mu.Unlock()
 		return o.rejection(spec.ID, err)
--- a/internal/node/lead/owner_test.go
+++ b/internal/node/lead/owner_test.go
@@ -134,6 +134,7 @@
 			Name: "q", Service: "s", MaxAttempts: 3, Slack: 2, TargetMs: 250, Advice: &sched.AdviceTiming{BaseMs: 1, WorkerMs: 1, ValidMs: 60_000},
 		}}},
 		Clock: c, Logger: logr.Discard(), Metrics: NewMetrics(prometheus.NewRegistry()), RetentionMs: 60_000, MaxLeaseMs: 10_000,
+		RecordBytes: 16 << 20, AppendBytes: 16 << 20, // a few large jobs fill a batch and are not refused
 	})
 	t.Cleanup(func() {
 		o.Stop("the test has ended")
@@ -392,3 +393,86 @@
 	defer store.mu.Unlock()
 	assert.Assert(t, slices.Contains(store.keys, "j"+last), "an accepted job was not stored")
 }
+
+// pickyStore refuses appends for good that hold a record with refuse in its key, and
+// confirms all others.
+type pickyStore struct {
+	gatedStore
+	refuse string
+}
+
+func (s *pickyStore) Append(ctx context.Context, r ports.AppendRequest) (int64, error) {
+	s.mu.Lock()
+	refuse := s.refuse
+	s.mu.Unlock()
+	for _, rec := range r.Records {
+		if refuse != "" && strings.Contains(rec.Key, refuse) {
+			return 0, &ports.RefusedError{Reason: ports.RefusedInvalid, Status: 413}
+		}
+	}
+	return s.gatedStore.Append(ctx, r)
+}
+
+// startPickyOwner starts an owner whose store refuses no records yet.
+func startPickyOwner(t *testing.T) (*Owner, *pickyStore, *recorder) {
+	store := &pickyStore{gatedStore: gatedStore{results: make(chan error)}}
+	go func() {
+		for {
+			select {
+			case store.results <- nil:
+			case <-t.Context().Done():
+				return
+			}
+		}
+	}()
+	r := &recorder{starts: make(chan ports.StartOrder, 10), advice: make(chan string, 100)}
+	return startTestOwner(t, store, r), store, r
+}
+
+// setRefuse sets which records the store refuses.
+func (s *pickyStore) setRefuse(text string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuse = text
+}
+
+// TestRefusedJobHoldsUpNobody guards against an owner that repeats an append for good
+// which the store refuses for good: the job must be told that it has not run, and jobs
+// beside it must be accepted and started.
+func TestRefusedJobHoldsUpNobody(t *testing.T) {
+	o, store, r := startPickyOwner(t)
+	const bad = "00000000000000bb"
+	store.setRefuse(bad)
+	refused := []chan error{submit(o, testJob(bad)), submit(o, testJob(bad))}
+	var accepted []chan error
+	for i := range 5 {
+		accepted = append(accepted, submit(o, testJob(fmt.Sprintf("%016x", i))))
+	}
+	for _, done := range accepted {
+		assert.NilError(t, <-done)
+	}
+	for _, done := range refused {
+		err := <-done
+		assert.Assert(t, fault.HasCode(err, fault.TooLarge), "%v", err)
+		assert.Equal(t, fault.OutcomeOf(err), fault.NotRun)
+	}
+	for range accepted {
+		assert.Assert(t, (<-r.starts).Task != bad+".0.0.0", "a job that is not stored was started")
+	}
+}
+
+// TestRefusedProgressHoldsUpNobody is the same for the progress of an accepted job. Nothing
+// of the job may start while its intents are not stored, and its cancelling is not
+// confirmed.
+func TestRefusedProgressHoldsUpNobody(t *testing.T) {
+	o, store, r := startPickyOwner(t)
+	const bad = "00000000000000bb"
+	store.setRefuse("p" + bad)
+	assert.NilError(t, <-submit(o, testJob(bad)))
+	for i := range 5 {
+		assert.NilError(t, <-submit(o, testJob(fmt.Sprintf("%016x", i))))
+		assert.Assert(t, (<-r.starts).Task != bad+".0.0.0", "a task whose intent is not stored was started")
+	}
+	err := o.Cancel(t.Context(), bad)
+	assert.Equal(t, fault.OutcomeOf(err), fault.Unknown, "%v", err)
+}
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"lagooncourse/internal/base/clock"
+	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/plat/ports"
 )
@@ -54,6 +55,9 @@
 	}
 	o.logWaiting(now)
 	o.logEndings()
+	for _, id := range o.planner.TakeFullJobs() {
+		o.log.Info("checkpoints of job are too long, keeping earlier ones", "job", id)
+	}
 	o.dispatchStops()
 	return o.planner.HasUnstored() || len(o.submissions) > 0 || len(o.cancellations) > 0
 }
@@ -81,12 +85,24 @@
 func (o *Owner) runCycle() bool {
 	w, err := o.prepare()
 	for err == nil {
-		if len(w.batch.Keys) > 0 && !o.appendBatch(w.batch) {
-			w.failUnconfirmed()
-			return false
+		stored := []*sched.Batch{w.batch}
+		if len(w.batch.Keys) > 0 {
+			switch o.appendBatch(w.batch) {
+			case appendEnded:
+				w.failUnconfirmed()
+				return false
+			case appendRefused:
+				var ok bool
+				if stored, ok = o.appendByJob(w); !ok {
+					w.failUnconfirmed()
+					return false
+				}
+			}
 		}
 		o.mu.Lock()
-		o.planner.Stored(w.batch)
+		for _, b := range stored {
+			o.planner.Stored(b)
+		}
 		if w.batch.Complete {
 			o.storing = nil
 			o.releaseStarts(w)
@@ -114,6 +130,8 @@
 	plannedStarts  []sched.Start          // their intents are in the batches
 	releasedStarts []sched.Start          // may be sent, since their intents are stored
 	jobMissing     map[*cancellation]bool // true if the job does not exist
+	refused        map[string]bool        // jobs of which the store has refused records for good
+	removed        map[string]bool        // submitted jobs that are not stored for that reason
 }
 
 // failUnconfirmed fails the requests whose append was not confirmed when ownership
@@ -132,7 +150,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	now := o.now()
-	w = &cycleWork{submissions: o.submissions, cancellations: o.cancellations, jobMissing: map[*cancellation]bool{}}
+	w = &cycleWork{submissions: o.submissions, cancellations: o.cancellations, jobMissing: map[*cancellation]bool{}, refused: map[string]bool{}, removed: map[string]bool{}}
 	o.submissions, o.cancellations, o.storing = nil, nil, w.submissions
 	confirm := o.takeConfirmations()
 	for _, c := range w.cancellations {
@@ -223,6 +241,16 @@
 // o.mu.
 func (o *Owner) releaseStarts(w *cycleWork) {
 	w.releasedStarts = o.planner.ReleaseStarts(w.plannedStarts, o.now())
+	for _, s := range w.submissions {
+		if _, known := o.planner.Job(s.spec.ID); !known {
+			w.removed[s.spec.ID] = true // perhaps in an earlier cycle, with another submission of the job
+		}
+	}
+	for _, c := range w.cancellations {
+		if o.planner.IsSetAside(c.id) {
+			w.refused[c.id] = true
+		}
+	}
 	o.confirmed()
 	if len(w.batch.Keys) > 0 {
 		close(o.stored)
@@ -234,6 +262,10 @@
 // respond responds to the callers of a stored cycle and sends its starts.
 func (o *Owner) respond(w *cycleWork) {
 	for _, s := range w.submissions {
+		if w.removed[s.spec.ID] {
+			s.done <- errNotStorable(s.spec.ID)
+			continue
+		}
 		o.log.Info("accepted job", "job", s.spec.ID, "queue", s.spec.Queue, "team", s.spec.Team, "steps", len(s.spec.Steps))
 		s.done <- nil
 	}
@@ -242,6 +274,10 @@
 			c.done <- o.errNoJob(c.id)
 			continue
 		}
+		if w.refused[c.id] {
+			c.done <- errUnconfirmed()
+			continue
+		}
 		o.log.Info("cancelled job", "job", c.id)
 		c.done <- nil
 	}
@@ -250,9 +286,50 @@
 	}
 }
 
-// appendBatch appends a batch and retries until the outcome is known. It returns
-// false when ownership has ended.
-func (o *Owner) appendBatch(b *sched.Batch) bool {
+// appendResult is the result of an append.
+type appendResult int
+
+// Results of an append.
+const (
+	appendStored  appendResult = iota
+	appendEnded                // ownership has ended
+	appendRefused              // the store will never accept it, whoever sends it
+)
+
+// errNotStorable returns the error for a job whose record the store refuses.
+func errNotStorable(id string) error {
+	return fault.New(fault.TooLarge, fault.NotRun, "the store does not accept the record of job %q", id)
+}
+
+// errRefused is logged for records that the store refuses for good.
+var errRefused = errors.New("the store refuses records for good")
+
+// appendByJob appends the records of each job by themselves, after the store has refused
+// them together: those of one job must not hold up the others. It returns the batches
+// that are stored, and false when ownership has ended.
+func (o *Owner) appendByJob(w *cycleWork) (stored []*sched.Batch, ok bool) {
+	for _, one := range w.batch.ByJob() {
+		if w.refused[one.Job()] {
+			continue
+		}
+		switch o.appendBatch(one) {
+		case appendEnded:
+			return nil, false
+		case appendStored:
+			stored = append(stored, one)
+		case appendRefused:
+			w.refused[one.Job()] = true
+			o.mu.Lock()
+			setAside := o.planner.Refused(one, o.now())
+			o.mu.Unlock()
+			o.log.Error(errRefused, "records of a job are not stored", "job", one.Job(), "records", len(one.Keys), "new", len(one.Accepted) > 0, "setAside", setAside)
+		}
+	}
+	return stored, true
+}
+
+// appendBatch appends a batch and retries until the outcome is known.
+func (o *Owner) appendBatch(b *sched.Batch) appendResult {
 	req := ports.AppendRequest{Topic: o.cfg.JobTopic, Writer: JobTopicWriter, Epoch: o.cfg.Claim.Epoch, Seq: o.nextSeq}
 	for i, key := range b.Keys {
 		req.Records = append(req.Records, ports.Record{Key: key, Value: b.Values[i]})
@@ -269,14 +346,17 @@
 			o.lastConfirmed, o.validFrom = sent, sentAt
 			o.mu.Unlock()
 			o.nextSeq++
-			return true
+			return appendStored
 		}
 		if o.ctx.Err() != nil {
-			return false
+			return appendEnded
 		}
 		if reason := ports.ReasonOf(err); reason == ports.RefusedFence || reason == ports.RefusedSequence {
 			o.Stop("append refused, another owner is writing: " + string(reason))
-			return false
+			return appendEnded
+		}
+		if ports.ReasonOf(err) == ports.RefusedInvalid {
+			return appendRefused
 		}
 		o.appendFailed(sent, err, tries)
 		time.Sleep(appendRetryPause)
--- a/internal/plat/fakes/store.go
+++ b/internal/plat/fakes/store.go
@@ -50,6 +50,12 @@
 // them returns its original offset and appends nothing.
 const maxRecent = 5
 
+// Limits of a Store, in bytes: of a record without its length, and of an append.
+const (
+	StoreRecordBytes = 256 << 10
+	StoreAppendBytes = 2 << 20
+)
+
 // NewStore returns an empty store.
 func NewStore(seed int64) *Store {
 	return &Store{rand: rand.New(rand.NewSource(seed)), topics: map[string]*topic{}, appended: make(chan struct{})}
@@ -175,6 +181,17 @@
 // the records. The caller holds s.mu.
 func (s *Store) append(r ports.AppendRequest) (int64, error) {
 	t := s.topic(r.Topic)
+	size := 0
+	for _, rec := range r.Records {
+		n := 1 + len(rec.Key) + len(rec.Value)
+		if n > StoreRecordBytes {
+			return 0, &ports.RefusedError{Reason: ports.RefusedInvalid, Status: 413}
+		}
+		size += 4 + n
+	}
+	if size > StoreAppendBytes {
+		return 0, &ports.RefusedError{Reason: ports.RefusedInvalid, Status: 413}
+	}
 	if r.Writer == "" {
 		return s.add(t, r.Records), nil
 	}
--- a/internal/plat/ports/ports.go
+++ b/internal/plat/ports/ports.go
@@ -54,6 +54,7 @@
 	RefusedTicket      Refusal = "ticket"   // the ticket is missing or has expired
 	RefusedIncarnation Refusal = "reborn"   // the worker has restarted: another incarnation has the address
 	RefusedBusy        Refusal = "busy"     // the store or worker is overloaded or unhealthy
+	RefusedInvalid     Refusal = "invalid"  // the store will never accept this append, for example since a record is too long
 	RefusedOther       Refusal = "other"
 )
 
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -107,7 +107,7 @@
 		JobTopic: platform.KeyedTopic(jobTopic), HostTopic: platform.KeyedTopic(hostTopic),
 		ParseConfig: platform.ParseConfig, ParseWorker: platform.ParseWorker, WorkerID: platform.WorkerID,
 		ParseOperatorKey: platform.ParseOperatorKey,
-		RetentionMs:      set.StatusS * 1000, MaxLeaseMs: set.MaxLeaseMs,
+		RetentionMs:      set.StatusS * 1000, MaxLeaseMs: set.MaxLeaseMs, RecordBytes: set.RecordBytes, AppendBytes: set.AppendBytes,
 		Logger: logs.NewJSON(out, "info"),
 	}
 }
