Stop runs of cancelled jobs again after a stop that was lost or not carried out

Cause, as reproduced here: a new owner requests stops of the runs of ended jobs at once, but knows the address of no worker until it has read the registry. The stop was dropped then, 25 ms after the start of the owner, while the planner had noted it as requested. It never requested another one, though each report of the worker listed the run, and each heartbeat renewed its lease. The same holds for a stop that a worker confirms and does not carry out, and for one that an earlier incarnation confirmed.

Change: a dropped stop is logged and forgotten, so the next report requests it; a run that is still listed 1.5 s after a stop is stopped again; runs that outlast their job are logged.

--- a/internal/cell/sched/explain.go
+++ b/internal/cell/sched/explain.go
@@ -94,6 +94,7 @@
 	Stopping  bool
 	Reachable bool  // the worker answered the last call
 	LeaseMs   int64 // time until the lease of the worker has expired for certain
+	JobEnded  bool
 }
 
 // String returns the name of the phase in log lines.
@@ -101,20 +102,20 @@
 	return [...]string{"intent", "sent", "running", "adopted", "stopConfirmed"}[ph]
 }
 
-// UnconfirmedRuns returns up to limit runs of open jobs that have been unconfirmed for
-// longer than minWaitMs, the oldest first.
+// UnconfirmedRuns returns up to limit runs that have been unconfirmed for longer than
+// minWaitMs, the oldest first. A run that outlasts its job is among them until it ends.
 func (p *Planner) UnconfirmedRuns(minWaitMs int64, limit int, now Instant) []UnconfirmedRun {
 	var list []UnconfirmedRun
 	for _, w := range p.workers {
 		for ref, a := range w.allocations {
 			j := p.state.Jobs[ref.Job]
 			ms := p.unconfirmedMs(w, a, now)
-			if ms <= minWaitMs || j == nil || j.Progress.Verdict != Open {
+			if ms <= minWaitMs || j == nil {
 				continue
 			}
 			list = append(list, UnconfirmedRun{
 				Task: ref.String(), Run: a.run, Worker: w.ID, Phase: a.phase.String(), WaitMs: ms, Stopping: a.stopping,
-				Reachable: w.reachable, LeaseMs: max(w.leaseExpiryMs-now.Ms, 0),
+				Reachable: w.reachable, LeaseMs: max(w.leaseExpiryMs-now.Ms, 0), JobEnded: j.Progress.Verdict != Open,
 			})
 		}
 	}
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -401,12 +401,28 @@
 	}
 }
 
-// stop requests a stop of a run. A start that ReleaseStarts has not returned yet needs
+// stopAgainMs is the time after which a stop is requested again if the worker still lists
+// the run. A worker takes up to 900 ms to stop a run, and lists it until then.
+const stopAgainMs = 1_500
+
+// StopNotSent is called when a stop was given up without having been sent, since the
+// address of the worker is not known. The next report that lists the run requests it
+// again.
+func (p *Planner) StopNotSent(s Stop) {
+	if w := p.workers[s.Worker]; w != nil {
+		if a := w.allocations[s.Ref]; a != nil && a.run == s.Run {
+			a.stopping = false
+		}
+	}
+}
+
+// stop requests a stop of a run, again after stopAgainMs: the worker may have confirmed a
+// stop and not carried it out, or have restarted and got the start late. A start that ReleaseStarts has not returned yet needs
 // no stop, because ReleaseStarts withdraws it.
 func (p *Planner) stop(w *Worker, r Ref, run int) {
 	a := w.allocations[r]
 	if a != nil && a.run == run {
-		if a.stopping || a.phase == phaseIntent {
+		if a.phase == phaseIntent || a.stopping && p.tickMs-a.stopMs < stopAgainMs {
 			return
 		}
 		a.stopping, a.stopMs = true, p.tickMs
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -388,6 +388,9 @@
 		p.stop(w, ref, r.Run)
 		return
 	}
+	if a.stopping {
+		p.stop(w, ref, r.Run)
+	}
 	j.Progress.RunConfirmed = true
 	p.noteActive(w, j, a, now)
 	t := j.task(ref)
--- a/internal/node/lead/owner_test.go
+++ b/internal/node/lead/owner_test.go
@@ -124,6 +124,12 @@
 	t.Helper()
 	state := sched.NewState()
 	state.Claim = sched.Claim{Epoch: epoch, Host: "h", Addr: "h"}
+	return startOwnerFrom(t, state, store, r, c)
+}
+
+// startOwnerFrom starts an owner that has read a state.
+func startOwnerFrom(t *testing.T, state *sched.State, store ports.Store, r testWorkers, c clock.Clock) *Owner {
+	t.Helper()
 	o := Start(Config{
 		Claim: state.Claim, JobTopic: "jobs", State: state, Store: store, Workers: r, AdviceClient: r, WorkerTopic: "workers",
 		ParseWorker: func(key string, _ []byte) (sched.WorkerInfo, error) {
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -191,7 +191,7 @@
 	}
 	for _, r := range o.planner.UnconfirmedRuns(waitingAfterMs, maxWaitingLines, now) {
 		o.log.Info("run not confirmed", "task", r.Task, "run", r.Run, "worker", r.Worker, "phase", r.Phase, "waitMs", r.WaitMs, "stopping", r.Stopping,
-			"reachable", r.Reachable, "leaseMs", r.LeaseMs)
+			"reachable", r.Reachable, "leaseMs", r.LeaseMs, "jobEnded", r.JobEnded)
 	}
 	for _, g := range o.planner.SplitGangs(waitingAfterMs, maxWaitingLines, now) {
 		o.log.Info("gang split", "step", g.Step, "waitMs", g.WaitMs, "idle", g.Waiting, "placed", g.Placed, "running", g.Running)
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -162,6 +162,10 @@
 	for o.awaitPermission() {
 		info, ok := o.worker(s.Worker)
 		if !ok {
+			o.log.Info("stop not sent, the address of the worker is not known", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker)
+			o.mu.Lock()
+			o.planner.StopNotSent(s)
+			o.mu.Unlock()
 			return
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, stopTimeout)
