--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -82,6 +82,8 @@
 	storeOutageAfter     = 1200 * time.Millisecond // new and queued submissions are rejected while an append is unconfirmed for longer
 	maxQueuedSubmissions = 4_000                   // further submissions are rejected
 	maxWithdrawalLines   = 50                      // log lines a second
+	maxOddEntryLines     = 5                       // log lines a second about invalid registry entries
+	maxErrTextBytes      = 300                     // of an error that quotes an entry, in a log line
 )
 
 // Owner is a running owner of the job topic.
@@ -117,6 +119,7 @@
 	lastWaitingLog   time.Time     // time of the last log lines about steps that wait for long
 
 	withdrawals logs.Limiter // of the log lines about submissions that were taken back
+	oddEntries  logs.Limiter // of the log lines about invalid registry entries
 }
 
 // workerClock is a reading of a worker's clock.
@@ -145,8 +148,8 @@
 		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), planWake: make(chan struct{}, 1), writeWake: make(chan struct{}, 1),
 		log:          cfg.Logger.WithName("lead").WithValues("epoch", cfg.Claim.Epoch),
 		workerClocks: map[string]workerClock{}, heartbeatLoops: map[string]context.CancelFunc{}, stopsInFlight: map[sched.Stop]bool{},
-		withdrawals: logs.Limiter{Lines: maxWithdrawalLines, Interval: time.Second},
-		stored:      make(chan struct{}), lastConfirmed: cfg.Clock.Now(), validFrom: cfg.Clock.Elapsed(), nextSeq: 1,
+		withdrawals: logs.Limiter{Lines: maxWithdrawalLines, Interval: time.Second}, oddEntries: logs.Limiter{Lines: maxOddEntryLines, Interval: time.Second},
+		stored: make(chan struct{}), lastConfirmed: cfg.Clock.Now(), validFrom: cfg.Clock.Elapsed(), nextSeq: 1,
 	}
 	o.planner = sched.NewPlanner(sched.Config{
 		State: cfg.State, PrevOwnerRenewMs: maxConfirmAgeMs, LeaseMs: o.leaseDurationMs(), MaxLeaseMs: cfg.MaxLeaseMs, RetentionMs: cfg.RetentionMs,
--- a/internal/node/lead/owner_test.go
+++ b/internal/node/lead/owner_test.go
@@ -130,18 +130,13 @@
 // startOwnerFrom starts an owner that has read a state.
 func startOwnerFrom(t *testing.T, state *sched.State, store ports.Store, r testWorkers, c clock.Clock) *Owner {
 	t.Helper()
-	o := Start(Config{
-		Claim: state.Claim, JobTopic: "jobs", State: state, Store: store, Workers: r, AdviceClient: r, WorkerTopic: "workers",
-		ParseWorker: func(key string, _ []byte) (sched.WorkerInfo, error) {
-			return sched.WorkerInfo{ID: key, Addr: key, Service: "s", Incarnation: 1, Capacity: jobs.Size{CPU: 8000, Mem: 1 << 20}}, nil
-		},
-		WorkerID: func(key string) string { return key },
-		Policy: sched.Policy{Queues: map[string]sched.Queue{"q": {
-			Name: "q", Service: "s", MaxAttempts: 3, Slack: 2, TargetMs: 250, Advice: &sched.AdviceTiming{BaseMs: 1, WorkerMs: 1, ValidMs: 60_000},
-		}}},
-		Clock: c, Logger: logr.Discard(), Metrics: NewMetrics(prometheus.NewRegistry()), RetentionMs: 60_000, MaxLeaseMs: 10_000,
-		RecordBytes: 16 << 20, AppendBytes: 16 << 20, // a few large jobs fill a batch and are not refused
-	})
+	return startOwner(t, ownerConfig(state, store, r, c))
+}
+
+// startOwner starts an owner and waits until w1 has listed its runs.
+func startOwner(t *testing.T, cfg Config) *Owner {
+	t.Helper()
+	o := Start(cfg)
 	t.Cleanup(func() {
 		o.Stop("the test has ended")
 		<-o.Done()
@@ -155,6 +150,22 @@
 	return o
 }
 
+// ownerConfig returns the configuration of an owner whose store has one worker, w1.
+func ownerConfig(state *sched.State, store ports.Store, r testWorkers, c clock.Clock) Config {
+	return Config{
+		Claim: state.Claim, JobTopic: "jobs", State: state, Store: store, Workers: r, AdviceClient: r, WorkerTopic: "workers",
+		ParseWorker: func(key string, _ []byte) (sched.WorkerInfo, error) {
+			return sched.WorkerInfo{ID: key, Addr: key, Service: "s", Incarnation: 1, Capacity: jobs.Size{CPU: 8000, Mem: 1 << 20}}, nil
+		},
+		WorkerID: func(key string) string { return key },
+		Policy: sched.Policy{Queues: map[string]sched.Queue{"q": {
+			Name: "q", Service: "s", MaxAttempts: 3, Slack: 2, TargetMs: 250, Advice: &sched.AdviceTiming{BaseMs: 1, WorkerMs: 1, ValidMs: 60_000},
+		}}},
+		Clock: c, Logger: logr.Discard(), Metrics: NewMetrics(prometheus.NewRegistry()), RetentionMs: 60_000, MaxLeaseMs: 10_000,
+		RecordBytes: 16 << 20, AppendBytes: 16 << 20, // a few large jobs fill a batch and are not refused
+	}
+}
+
 func testJob(id string) sched.Spec {
 	return sched.Spec{
 		ID: id, Queue: "q", Team: "t", AcceptedMs: time.Now().UnixMilli(),
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -419,7 +419,10 @@
 	}
 	info, err := o.cfg.ParseWorker(r.Key, r.Value)
 	if err != nil {
-		o.log.Info("ignoring invalid worker registry entry", "key", r.Key, "err", err.Error())
+		if skipped, ok := o.oddEntries.Allow(o.cfg.Clock.Now()); ok {
+			text := err.Error() // may quote the entry
+			o.log.Info("ignoring invalid worker registry entry", "key", r.Key, "bytes", len(r.Value), "err", text[:min(len(text), maxErrTextBytes)], "skipped", skipped)
+		}
 		return
 	}
 	o.planner.SetWorker(info, o.now())
