Replace an owner that answers pings and plans nothing

Cause: pings are answered without the planner, on purpose: it may be busy for a moment.

Change: an owner that has finished no plan for 3 s counts as stalled. Its host says so in pings, refuses requests as not run at once, and gives up ownership after ten checks in a row (0.5 s), so that a suspended host gets to plan first.

--- a/internal/node/gate/api.go
+++ b/internal/node/gate/api.go
@@ -181,7 +181,7 @@
 	h.mu.Lock()
 	o, owner, now := h.localOwner, h.owner, h.clock.Now()
 	h.mu.Unlock()
-	if o != nil {
+	if o != nil && o.Stalled() == 0 { // a stalled owner would never answer
 		return h.serveCall(ctx, c)
 	}
 	if owner.addr == "" || owner.addr == h.addr || now.Sub(owner.lastContact) > suspectAfter {
@@ -197,7 +197,7 @@
 	h.mu.Lock()
 	o := h.localOwner
 	h.mu.Unlock()
-	if o == nil {
+	if o == nil || o.Stalled() > 0 {
 		return a, fault.New(fault.NotOwner, fault.NotRun, "this host does not own the jobs")
 	}
 	switch c.Kind {
--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -199,10 +199,12 @@
 func (h *Host) claimLoop(ctx context.Context) {
 	h.awaitHosts(ctx)
 	clock.Sleep(ctx, startupPingWait)
+	stalledChecks := 0
 	for ctx.Err() == nil {
 		if h.shouldClaimNow() {
 			h.tryClaim(ctx)
 		}
+		stalledChecks = h.stopStalledOwner(stalledChecks)
 		h.handOverToMorePowerful(ctx)
 		clock.Sleep(ctx, claimCheckInterval)
 	}
@@ -233,6 +235,31 @@
 	return e.shouldClaim()
 }
 
+// errStalled is logged when the owner on this host is stalled.
+var errStalled = errors.New("the owner has planned nothing for some time")
+
+// minStalledChecks is the number of checks in a row that have to find the owner stalled:
+// 0.5 s. A host that was suspended finds it so until the first plan after that.
+const minStalledChecks = 10
+
+// stopStalledOwner gives up ownership if the owner on this host is stalled, and returns
+// the number of checks in a row that have found it so; the argument is the number before.
+// The loops of the owner may never end, so this host claims nothing any more. Its peers
+// learn of it from its pings.
+func (h *Host) stopStalledOwner(checks int) int {
+	h.mu.Lock()
+	o := h.localOwner
+	h.mu.Unlock()
+	if o == nil || o.Stalled() == 0 {
+		return 0
+	}
+	checks++
+	if checks == minStalledChecks && o.Stop("stalled") {
+		h.log.Error(errStalled, "the owner is stalled", "sinceMs", o.Stalled().Milliseconds())
+	}
+	return checks
+}
+
 // minOwnershipTime is the minimum time of ownership before a handover to a more
 // powerful host. It lets hosts that start together find each other first.
 const minOwnershipTime = 1500 * time.Millisecond
--- a/internal/node/gate/cluster_test.go
+++ b/internal/node/gate/cluster_test.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -36,8 +37,13 @@
 	stop      chan struct{}
 	startedAt time.Time
 	logger    logr.Logger
+	stalling  atomic.Bool // an owner has read stallingEntry
 }
 
+// stallingEntry is the key of a registry entry at which the first owner that reads it
+// hangs.
+const stallingEntry = "stalling"
+
 // testCodec uses a request format of its own, not that of the users' platform.
 var testCodec = Codec{
 	Job: func(id string, body []byte) (s sched.Spec, err error) {
@@ -167,7 +173,12 @@
 			}
 			return ports.OperatorKey{Config: key == "config", Az: az}
 		},
-		ParseWorker: func(_ string, b []byte) (w sched.WorkerInfo, err error) { return w, json.Unmarshal(b, &w) },
+		ParseWorker: func(key string, b []byte) (w sched.WorkerInfo, err error) {
+			if key == stallingEntry && c.stalling.CompareAndSwap(false, true) {
+				<-c.stop // the owner calls this with its mutex held
+			}
+			return w, json.Unmarshal(b, &w)
+		},
 		WorkerID:    func(key string) string { return key },
 		RetentionMs: 60_000, MaxLeaseMs: fakes.MaxLeaseMs, Logger: c.logger,
 	})
--- a/internal/node/gate/membership.go
+++ b/internal/node/gate/membership.go
@@ -173,7 +173,7 @@
 		OwnerAgeMs: h.clock.Now().Sub(h.owner.lastContact).Milliseconds(), ConfigNext: configNext, StoreOK: storeOK, CPUMillis: h.cfg.CPUMillis,
 	}
 	if h.localOwner != nil {
-		p.OwnerAgeMs = 0
+		p.OwnerAgeMs = h.localOwner.Stalled().Milliseconds()
 	}
 	return p
 }
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -25,6 +25,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -84,6 +85,7 @@
 	maxWithdrawalLines   = 50                      // log lines a second
 	maxOddEntryLines     = 5                       // log lines a second about invalid registry entries
 	maxErrTextBytes      = 300                     // of an error that quotes an entry, in a log line
+	stalledAfter         = 3 * time.Second         // without a finished plan, an owner counts as stalled; a plan takes milliseconds
 )
 
 // Owner is a running owner of the job topic.
@@ -101,6 +103,8 @@
 	storeSlow bool          // the last append was slow; used by the write loop only
 	latency   time.Duration // of the last confirmed append; used by the write loop only
 
+	plannedAt atomic.Int64 // when the last plan was finished, as Clock.Elapsed
+
 	mu               sync.Mutex
 	planner          *sched.Planner
 	submissions      []*submission
@@ -151,6 +155,7 @@
 		withdrawals: logs.Limiter{Lines: maxWithdrawalLines, Interval: time.Second}, oddEntries: logs.Limiter{Lines: maxOddEntryLines, Interval: time.Second},
 		stored: make(chan struct{}), lastConfirmed: cfg.Clock.Now(), validFrom: cfg.Clock.Elapsed(), nextSeq: 1,
 	}
+	o.plannedAt.Store(int64(cfg.Clock.Elapsed()))
 	o.planner = sched.NewPlanner(sched.Config{
 		State: cfg.State, PrevOwnerRenewMs: maxConfirmAgeMs, LeaseMs: o.leaseDurationMs(), MaxLeaseMs: cfg.MaxLeaseMs, RetentionMs: cfg.RetentionMs,
 		RecordBytes: cfg.RecordBytes, AppendBytes: cfg.AppendBytes,
@@ -195,13 +200,25 @@
 // Done returns a channel that is closed when all loops of the owner have ended.
 func (o *Owner) Done() <-chan struct{} { return o.done }
 
-// Stop gives up ownership. The write loop then fails the submissions and
-// cancellations that are not confirmed as stored.
-func (o *Owner) Stop(reason string) {
+// Stop gives up ownership, and reports whether this call did. The write loop then fails
+// the submissions and cancellations that are not confirmed as stored.
+func (o *Owner) Stop(reason string) (stopped bool) {
 	o.stopOnce.Do(func() {
 		o.log.Info("gave up ownership", "reason", reason)
 		o.cancel()
+		stopped = true
 	})
+	return stopped
+}
+
+// Stalled returns how long ago the last plan was finished, or 0 if the owner is not
+// stalled. It does not wait for the owner's mutex, which a stalled owner may hold: its
+// host still answers pings, and would be taken for a working owner.
+func (o *Owner) Stalled() time.Duration {
+	if d := o.cfg.Clock.Elapsed() - time.Duration(o.plannedAt.Load()); d > stalledAfter {
+		return d
+	}
+	return 0
 }
 
 // wakePlanner wakes the plan loop.
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -27,6 +27,7 @@
 		o.mu.Lock()
 		unstored := o.planLocked()
 		o.mu.Unlock()
+		o.plannedAt.Store(int64(o.cfg.Clock.Elapsed()))
 		if unstored {
 			notify(o.writeWake)
 		}
