--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -22,6 +22,15 @@
 	return advised && !answer.allowed
 }
 
+// expire ends the validity of a worker's ticket. There is none if the queue has got its
+// advice by a configuration that is not known here yet.
+func (s *adviceState) expire(worker string) {
+	if answer, ok := s.answers[worker]; ok {
+		answer.untilMs = 0
+		s.answers[worker] = answer
+	}
+}
+
 // allowedShare is a moving average of the share of workers that advice allows. Its
 // first sample sets the value; all others have the weight allowedShareWeight.
 type allowedShare struct{ mean float64 }
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -364,7 +364,7 @@
 // isLongRunning reports whether a task is long-running.
 func (p *Planner) isLongRunning(r Ref) bool {
 	j := p.state.Jobs[r.Job]
-	return j != nil && j.Spec.Steps[r.Step].LongRunning
+	return j != nil && j.task(r) != nil && j.Spec.Steps[r.Step].LongRunning
 }
 
 // start allocates capacity for a task on a worker and adds its start to the
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -54,9 +54,7 @@
 		return
 	case StartNoTicket:
 		if si := p.steps[s.stepKey]; si != nil {
-			answer := si.advice.answers[s.Worker]
-			answer.untilMs = 0
-			si.advice.answers[s.Worker] = answer
+			si.advice.expire(s.Worker)
 		}
 	case StartNoCapacity:
 		w.backoffUntilMs = now.Ms + capacityBackoffMs
@@ -67,13 +65,16 @@
 	p.withdrawTrial(s.Ref, s.Run)
 	p.requeue(s.Ref, s.Run, now)
 	p.stopGang(s.Ref)
+	if si := p.steps[s.stepKey]; o == StartNoTicket && si != nil && p.queue(si).Advice == nil {
+		si.retryAtMs = max(si.retryAtMs, now.Ms+busyBackoffMs) // until the configuration with the advice is known
+	}
 }
 
 // stopGang stops the placed members of a gang after a member has failed to
 // start or has ended without success. It ignores tasks that are not in a gang.
 func (p *Planner) stopGang(r Ref) {
 	j := p.state.Jobs[r.Job]
-	if j == nil || !j.Spec.Steps[r.Step].Gang {
+	if j == nil || j.task(r) == nil || !j.Spec.Steps[r.Step].Gang {
 		return
 	}
 	for i, t := range j.stepTasks(r.Occ, r.Step) {
@@ -135,7 +136,7 @@
 	}
 	for ref, a := range w.allocations {
 		j := p.state.Jobs[ref.Job]
-		if j == nil || a.endMs <= now.Ms+w.LeavesInMs || j.Spec.Steps[ref.Step].LongRunning {
+		if j == nil || j.task(ref) == nil || a.endMs <= now.Ms+w.LeavesInMs || j.Spec.Steps[ref.Step].LongRunning {
 			continue
 		}
 		p.stop(w, ref, a.run)
--- a/internal/cell/sched/state.go
+++ b/internal/cell/sched/state.go
@@ -63,14 +63,10 @@
 
 // task returns the task of a Ref, or nil if the job has no such task.
 func (j *Job) task(r Ref) *Task {
-	if r.Step < 0 || r.Step >= len(j.firstTask) || r.Index < 0 || r.Index >= j.Spec.Steps[r.Step].Count {
+	if r.Occ < 0 || r.Occ >= j.occurrences() || r.Step < 0 || r.Step >= len(j.firstTask) || r.Index < 0 || r.Index >= j.Spec.Steps[r.Step].Count {
 		return nil
 	}
-	i := r.Occ*j.tasksPerOcc + j.firstTask[r.Step] + r.Index
-	if r.Occ < 0 || i >= len(j.Progress.Tasks) {
-		return nil
-	}
-	return &j.Progress.Tasks[i]
+	return &j.Progress.Tasks[r.Occ*j.tasksPerOcc+j.firstTask[r.Step]+r.Index]
 }
 
 // stepTasks returns the tasks of one step of an occurrence.
