Contain panics: a message costs its own request, a damaged planner the ownership

Change: package guard. Decoders, calls and peers' requests fail for themselves; a panic in the planner or a goroutine of the owner ends the ownership with the mutex released and all callers answered; the host's loops run again after 1 s. Each is logged with its stack and counted in lagooncourse_panics_total.

--- a/internal/base/frame/server.go
+++ b/internal/base/frame/server.go
@@ -8,15 +8,18 @@
 	"time"
 
 	"github.com/ansel1/merry/v2"
+	"github.com/go-logr/logr"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/guard"
 )
 
 // ServerConfig configures a Server.
 type ServerConfig struct {
 	Addr        string // IP:port; port 0 selects a free port
 	MaxInFlight int    // maximum concurrent requests per connection, at which reading pauses; 0 means 4096
+	Logger      logr.Logger
 }
 
 const defaultMaxInFlight = 4096
@@ -108,7 +111,7 @@
 			c.Close()
 			return
 		}
-		go s.serveConn(c)
+		go guard.Run(s.cfg.Logger, "connection of a peer", func() { s.serveConn(c) })
 	}
 }
 
@@ -170,13 +173,19 @@
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(req.TimeoutMs)*time.Millisecond)
 		defer cancel()
 	}
-	body, err := h(ctx, req.Body)
+	body, err := s.call(ctx, h, req)
 	if err != nil {
 		return response{ID: req.ID, Err: fault.From(err)}
 	}
 	return response{ID: req.ID, Body: msgpack.RawMessage(body)}
 }
 
+// call calls a handler. A panic in it costs only the request.
+func (s *Server) call(ctx context.Context, h handler, req request) (body []byte, err error) {
+	defer guard.Error(&err, s.cfg.Logger, "request of a peer")
+	return h(ctx, req.Body)
+}
+
 // connWriter writes the frames of several goroutines to one connection, one frame
 // at a time.
 type connWriter struct {
--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -9,6 +9,7 @@
 	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/base/guard"
 	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/node/lead"
 	"lagooncourse/internal/plat/ports"
@@ -112,7 +113,7 @@
 	}
 	if c := r.state.Claim; c.Epoch > h.owner.epoch {
 		h.setOwner(c.Epoch, c.Addr, h.assumedContact())
-		go h.sendPing(context.WithoutCancel(ctx), c.Addr)
+		h.background("ping", func() { h.sendPing(context.WithoutCancel(ctx), c.Addr) })
 	}
 	return err
 }
@@ -189,7 +190,11 @@
 
 // applyRecord applies a record to s. It logs and skips an invalid one.
 func (h *Host) applyRecord(s *sched.State, rec ports.Record) {
-	if err := s.Apply(rec.Key, rec.Value); err != nil {
+	apply := func() (err error) {
+		defer guard.Error(&err, h.log, "job record")
+		return s.Apply(rec.Key, rec.Value)
+	}
+	if err := apply(); err != nil {
 		h.log.Error(err, "ignoring invalid job record", "offset", rec.Offset)
 	}
 }
@@ -353,7 +358,7 @@
 	h.ownerSince = h.clock.Now()
 	h.setOwner(c.Epoch, h.addr, h.ownerSince)
 	h.ownerContacted = true
-	go h.announce()
+	h.background("announcement", h.announce)
 	go func() {
 		<-o.Done()
 		h.mu.Lock()
@@ -376,7 +381,7 @@
 	}
 	h.mu.Unlock()
 	for _, addr := range addrs {
-		go h.sendPing(context.Background(), addr)
+		h.background("ping", func() { h.sendPing(context.Background(), addr) })
 	}
 }
 
--- a/internal/node/gate/config.go
+++ b/internal/node/gate/config.go
@@ -10,6 +10,7 @@
 
 	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/base/guard"
 	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/plat/ports"
 )
@@ -208,7 +209,7 @@
 	case o.Az != "":
 		h.log.Info("availability zone", "az", o.Az, "out", len(r.Value) > 0, "offset", r.Offset)
 	case o.Config && len(r.Value) > 0:
-		config, err := h.cfg.ParseConfig(r.Value)
+		config, err := h.parseConfig(r.Value)
 		if err != nil {
 			h.log.Error(err, "ignoring invalid configuration", "offset", r.Offset)
 			return
@@ -252,3 +253,9 @@
 		h.applyConfig(a.Records, a.Next)
 	}
 }
+
+// parseConfig decodes a configuration. A panic of the decoder costs only this version.
+func (h *Host) parseConfig(value []byte) (c ports.ClusterConfig, err error) {
+	defer guard.Error(&err, h.log, "configuration")
+	return h.cfg.ParseConfig(value)
+}
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -36,6 +36,7 @@
 	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/base/guard"
 	"lagooncourse/internal/base/httpd"
 	"lagooncourse/internal/base/logs"
 	"lagooncourse/internal/cell/sched"
@@ -108,11 +109,13 @@
 	cancel      context.CancelFunc
 	loops       sync.WaitGroup
 	hostsLoaded chan struct{} // closed after the first successful read of the host registrations
-	inFlight    atomic.Int64
-	requests    context.Context // done when a stopping host has to answer all requests
-	endRequests context.CancelFunc
-	panics      logs.Limiter // of the log lines about handlers that panicked
-	disconnects logs.Limiter // of the log lines about clients that disconnected before the response
+
+	hostsLoadedOnce sync.Once
+	inFlight        atomic.Int64
+	requests        context.Context // done when a stopping host has to answer all requests
+	endRequests     context.CancelFunc
+	panics          logs.Limiter // of the log lines about handlers that panicked
+	disconnects     logs.Limiter // of the log lines about clients that disconnected before the response
 
 	mu             sync.Mutex
 	peers          map[string]*peer
@@ -152,20 +155,32 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.cancel = cancel
-	for _, loop := range []func(context.Context){h.configLoop, h.pingLoop, h.hostsLoop, h.replicaLoop, h.claimLoop} {
+	for name, loop := range map[string]func(context.Context){
+		"config loop": h.configLoop, "ping loop": h.pingLoop, "hosts loop": h.hostsLoop, "replica loop": h.replicaLoop, "claim loop": h.claimLoop,
+	} {
 		h.loops.Add(1)
 		go func() {
 			defer h.loops.Done()
-			loop(ctx)
+			for ctx.Err() == nil && !guard.Run(h.log, name, func() { loop(ctx) }) {
+				clock.Sleep(ctx, loopRestartPause)
+			}
 		}()
 	}
 	h.log.Info("started", "listen", cfg.Listen, "peer", h.addr, "az", cfg.Az)
 	return h, nil
 }
 
+// loopRestartPause is the pause before a loop that has panicked runs again.
+const loopRestartPause = time.Second
+
+// background calls f in a goroutine. A panic in it costs only what f does.
+func (h *Host) background(name string, f func()) {
+	go guard.Run(h.log, name, f)
+}
+
 // listen opens the listeners and starts serving.
 func (h *Host) listen() (err error) {
-	h.peerServer = frame.NewServer(frame.ServerConfig{Addr: h.addr})
+	h.peerServer = frame.NewServer(frame.ServerConfig{Addr: h.addr, Logger: h.log})
 	frame.Handle(h.peerServer, pingMethod, h.servePing)
 	frame.Handle(h.peerServer, callMethod, h.serveCall)
 	frame.Handle(h.peerServer, adviseMethod, h.serveAdvise)
--- a/internal/node/gate/membership.go
+++ b/internal/node/gate/membership.go
@@ -30,7 +30,7 @@
 		next = n
 		if err == nil && !loaded {
 			loaded = true
-			close(h.hostsLoaded)
+			h.hostsLoadedOnce.Do(func() { close(h.hostsLoaded) }) // the loop may have been started again
 		}
 		pause := hostsPollInterval
 		if err != nil || !registered {
@@ -122,7 +122,7 @@
 	round := 0
 	for ctx.Err() == nil {
 		for _, addr := range h.pingAddrs(round) {
-			go h.sendPing(ctx, addr)
+			h.background("ping", func() { h.sendPing(ctx, addr) })
 		}
 		round++
 		clock.Sleep(ctx, pingInterval)
@@ -222,7 +222,7 @@
 	}
 	h.mu.Unlock()
 	if msg.ConfigNext > h.config.offset() {
-		go h.fetchConfig(ctx, msg.Addr)
+		h.background("fetching the configuration", func() { h.fetchConfig(ctx, msg.Addr) })
 	}
 }
 
--- a/internal/node/gate/metrics.go
+++ b/internal/node/gate/metrics.go
@@ -8,6 +8,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"lagooncourse/internal/base/guard"
 )
 
 // metrics holds the metrics of an entry host.
@@ -23,7 +25,10 @@
 	m := &metrics{requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "lagooncourse_request_seconds", Help: "Time to answer a caller.", Buckets: requestBuckets,
 	}, []string{"kind", "status"})}
-	reg.MustRegister(m.requests, collectors.NewGoCollector())
+	panics := prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "lagooncourse_panics_total", Help: "Panics that were contained; each is a fault in this program.",
+	}, func() float64 { return float64(guard.Count()) })
+	reg.MustRegister(m.requests, panics, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/node/gate/relay.go
+++ b/internal/node/gate/relay.go
@@ -6,8 +6,11 @@
 	"sync"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/base/guard"
 	"lagooncourse/internal/plat/ports"
 )
 
@@ -156,25 +159,32 @@
 	if hedge > 0 {
 		paths = append(paths, paths...)
 	}
-	r := firstFinal(ctx, paths, mustAnswer, hedge)
+	r := firstFinal(ctx, s.host.log, paths, mustAnswer, hedge)
 	if r.final() && !r.direct && !skipDirect {
 		s.recordFailure("the call relayed by a peer was answered first")
 	}
 	return r.v, r.err
 }
 
+// errPathPanicked is the error of a call on a path that has panicked.
+var errPathPanicked = fault.New(fault.Internal, fault.Unknown, "the call to the store has failed on this host")
+
 // firstFinal runs the paths, each in the background, until one returns a final result.
 // It begins with the first, and with the next one when a result is not final, up to
 // mustAnswer paths, or when hedge, if not zero, has passed before ctx is done. If no
 // result is final, it returns one whose outcome is unknown, or the last.
-func firstFinal[T any](ctx context.Context, paths []func() callResult[T], mustAnswer int, hedge time.Duration) (failed callResult[T]) {
+func firstFinal[T any](ctx context.Context, log logr.Logger, paths []func() callResult[T], mustAnswer int, hedge time.Duration) (failed callResult[T]) {
 	results := make(chan callResult[T], len(paths))
 	begun, running := 0, 0
 	begin := func() {
 		path := paths[begun]
 		begun++
 		running++
-		go func() { results <- path() }()
+		go func() {
+			r := callResult[T]{err: errPathPanicked}
+			guard.Run(log, "call to the store", func() { r = path() })
+			results <- r
+		}()
 	}
 	var tick <-chan time.Time
 	if hedge > 0 {
--- a/internal/node/gate/relay_test.go
+++ b/internal/node/gate/relay_test.go
@@ -200,7 +200,7 @@
 			return measured(ctx, s, hedgeDelay, silent)
 		}
 	}
-	r := firstFinal(ctx, paths, 1, hedgeDelay)
+	r := firstFinal(ctx, logr.Discard(), paths, 1, hedgeDelay)
 	assert.Equal(t, fault.OutcomeOf(r.err), fault.Unknown)
 	assert.Assert(t, begun.Load() <= 3, "%d paths were begun", begun.Load())
 }
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -32,6 +32,7 @@
 
 	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/guard"
 	"lagooncourse/internal/base/logs"
 	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/plat/ports"
@@ -109,6 +110,7 @@
 	planner          *sched.Planner
 	submissions      []*submission
 	storing          []*submission // of the current cycle, which may need several appends
+	cycle            *cycleWork    // not finished yet; nil if there is none
 	cancellations    []*cancellation
 	confirmations    []*confirmation
 	confirmPending   bool // the write loop will be woken for them
@@ -162,11 +164,11 @@
 	}, o.now())
 	o.planner.SetPolicy(cfg.Policy)
 	o.log.Info("took over", "jobs", len(cfg.State.Jobs), "offset", cfg.State.NextOffset)
-	for _, loop := range []func(){o.planLoop, o.writeLoop, o.registryLoop} {
+	for name, loop := range map[string]func(){"plan loop": o.planLoop, "write loop": o.writeLoop, "registry loop": o.registryLoop} {
 		o.loops.Add(1)
 		go func() {
 			defer o.loops.Done()
-			loop()
+			o.guarded(name, loop)
 		}()
 	}
 	go func() {
@@ -176,6 +178,29 @@
 	return o
 }
 
+// locked calls f with o.mu held. A panic in f passes on, but the planner may be left half
+// changed, so ownership is given up: the next owner starts from the stored records.
+func (o *Owner) locked(f func()) {
+	o.mu.Lock()
+	done := false
+	defer func() {
+		o.mu.Unlock()
+		if !done {
+			o.Stop("the state may be damaged by a panic")
+		}
+	}()
+	f()
+	done = true
+}
+
+// guarded calls f, one of the owner's goroutines. A panic in it ends ownership, since its
+// work would be left undone.
+func (o *Owner) guarded(name string, f func()) {
+	if !guard.Run(o.log, name, f) {
+		o.Stop("panic in " + name)
+	}
+}
+
 // leaseDurationMs returns the duration of a lease: leaseMs or the maximum of the
 // workers, whichever is shorter.
 func (o *Owner) leaseDurationMs() int64 {
@@ -234,9 +259,7 @@
 
 // SetPolicy passes a new configuration to the planner.
 func (o *Owner) SetPolicy(v sched.Policy) {
-	o.mu.Lock()
-	o.planner.SetPolicy(v)
-	o.mu.Unlock()
+	o.locked(func() { o.planner.SetPolicy(v) })
 	o.wakePlanner()
 }
 
@@ -252,22 +275,12 @@
 // append instead of two.
 func (o *Owner) Submit(ctx context.Context, spec sched.Spec) error {
 	s := &submission{spec: spec, done: make(chan error, 1)}
-	o.mu.Lock()
-	if _, known := o.planner.Status(spec.ID); known {
-		o.mu.Unlock()
-		return nil
-	}
-	if err := o.planner.CheckSize(spec); err != nil {
-		o.mu.Unlock()
+	var queued bool
+	var err error
+	o.locked(func() { queued, err = o.enqueue(s) })
+	if !queued {
 		return err
 	}
-	if err := o.admit(); err != nil {
-		defer o.mu.Unlock()
-		return o.rejection(spec.ID, err)
-	}
-	o.submissions = append(o.submissions, s)
-	o.planner.Accept(spec, o.now())
-	o.mu.Unlock()
 	notify(o.writeWake)
 	select {
 	case err := <-s.done:
@@ -277,6 +290,23 @@
 	}
 }
 
+// enqueue queues a submission and plans its job. If it does not, the result is err: nil if
+// the job is known. The caller holds o.mu.
+func (o *Owner) enqueue(s *submission) (queued bool, err error) {
+	if _, known := o.planner.Status(s.spec.ID); known {
+		return false, nil
+	}
+	if err := o.planner.CheckSize(s.spec); err != nil {
+		return false, err
+	}
+	if err := o.admit(); err != nil {
+		return false, o.rejection(s.spec.ID, err)
+	}
+	o.submissions = append(o.submissions, s)
+	o.planner.Accept(s.spec, o.now())
+	return true, nil
+}
+
 // admit returns an error if a new submission cannot be stored soon: the owner has
 // stopped, the queue is full or the store does not answer. The caller holds o.mu.
 func (o *Owner) admit() error {
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -24,9 +24,8 @@
 		case <-o.planWake:
 		case <-ticker.C:
 		}
-		o.mu.Lock()
-		unstored := o.planLocked()
-		o.mu.Unlock()
+		var unstored bool
+		o.locked(func() { unstored = o.planLocked() })
 		o.plannedAt.Store(int64(o.cfg.Clock.Elapsed()))
 		if unstored {
 			notify(o.writeWake)
@@ -52,7 +51,7 @@
 	plan := o.planner.Plan(o.cfg.AdviceClient, now)
 	o.plannedStarts = append(o.plannedStarts, plan.Starts...)
 	for _, req := range plan.Requests {
-		go o.requestAdvice(req)
+		go o.guarded("advice request", func() { o.requestAdvice(req) })
 	}
 	o.logWaiting(now)
 	o.logEndings()
@@ -90,36 +89,37 @@
 		if len(w.batch.Keys) > 0 {
 			switch o.appendBatch(w.batch) {
 			case appendEnded:
-				w.failUnconfirmed()
 				return false
 			case appendRefused:
 				var ok bool
 				if stored, ok = o.appendByJob(w); !ok {
-					w.failUnconfirmed()
 					return false
 				}
 			}
 		}
-		o.mu.Lock()
-		for _, b := range stored {
-			o.planner.Stored(b)
-		}
-		if w.batch.Complete {
-			o.storing = nil
-			o.releaseStarts(w)
-			o.mu.Unlock()
+		var complete bool
+		o.locked(func() {
+			for _, b := range stored {
+				o.planner.Stored(b)
+			}
+			if complete = w.batch.Complete; complete {
+				o.storing = nil
+				o.releaseStarts(w)
+				return
+			}
+			w.batch, err = o.planner.TakeBatch(o.now())
+		})
+		if complete {
 			break
 		}
-		w.batch, err = o.planner.TakeBatch(o.now())
-		o.mu.Unlock()
 	}
 	if err != nil {
 		o.log.Error(err, "failed to encode records")
 		o.Stop("failed to encode records")
-		w.failUnconfirmed()
 		return false
 	}
 	o.respond(w)
+	o.locked(func() { o.cycle = nil })
 	return true
 }
 
@@ -135,24 +135,34 @@
 	removed        map[string]bool        // submitted jobs that are not stored for that reason
 }
 
-// failUnconfirmed fails the requests whose append was not confirmed when ownership
-// ended.
+// failUnconfirmed fails the requests that have no result yet when ownership ends before
+// their append was confirmed.
 func (w *cycleWork) failUnconfirmed() {
+	fail := func(done chan error) {
+		select {
+		case done <- errUnconfirmed():
+		default:
+		}
+	}
 	for _, s := range w.submissions {
-		s.done <- errUnconfirmed()
+		fail(s.done)
 	}
 	for _, c := range w.cancellations {
-		c.done <- errUnconfirmed()
+		fail(c.done)
 	}
 }
 
 // prepare takes the queued requests, runs the planner and builds the first batch.
 func (o *Owner) prepare() (w *cycleWork, err error) {
-	o.mu.Lock()
-	defer o.mu.Unlock()
+	o.locked(func() { w, err = o.prepareLocked() })
+	return w, err
+}
+
+// prepareLocked is prepare for a caller that holds o.mu.
+func (o *Owner) prepareLocked() (w *cycleWork, err error) {
 	now := o.now()
 	w = &cycleWork{submissions: o.submissions, cancellations: o.cancellations, jobMissing: map[*cancellation]bool{}, refused: map[string]bool{}, removed: map[string]bool{}}
-	o.submissions, o.cancellations, o.storing = nil, nil, w.submissions
+	o.submissions, o.cancellations, o.storing, o.cycle = nil, nil, w.submissions, w
 	confirm := o.takeConfirmations()
 	for _, c := range w.cancellations {
 		w.jobMissing[c] = !o.planner.Cancel(c.id, now)
@@ -283,7 +293,7 @@
 		c.done <- nil
 	}
 	for _, s := range w.releasedStarts {
-		go o.sendStart(s)
+		go o.guarded("start", func() { o.sendStart(s) })
 	}
 }
 
@@ -320,9 +330,8 @@
 			stored = append(stored, one)
 		case appendRefused:
 			w.refused[one.Job()] = true
-			o.mu.Lock()
-			setAside := o.planner.Refused(one, o.now())
-			o.mu.Unlock()
+			var setAside bool
+			o.locked(func() { setAside = o.planner.Refused(one, o.now()) })
 			o.log.Error(errRefused, "records of a job are not stored", "job", one.Job(), "records", len(one.Keys), "new", len(one.Accepted) > 0, "setAside", setAside)
 		}
 	}
@@ -387,12 +396,12 @@
 // appendFailed handles a failed try of an append. It also sends stops, and rejects
 // the queued submissions during a store outage.
 func (o *Owner) appendFailed(sent time.Time, err error, tries int) {
-	o.mu.Lock()
-	if o.unconfirmedSince.IsZero() {
-		o.unconfirmedSince = sent
-	}
-	o.dispatchStops()
-	o.mu.Unlock()
+	o.locked(func() {
+		if o.unconfirmedSince.IsZero() {
+			o.unconfirmedSince = sent
+		}
+		o.dispatchStops()
+	})
 	if tries == 0 {
 		o.log.Info("append not confirmed", "err", err.Error(), "seq", o.nextSeq)
 	}
@@ -417,6 +426,9 @@
 func (o *Owner) rejectAll() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if o.cycle != nil {
+		o.cycle.failUnconfirmed()
+	}
 	o.rejectQueued(errNotOwner())
 	o.rejectConfirmations(errNotOwner())
 	for _, c := range o.cancellations {
@@ -432,9 +444,7 @@
 	sent := o.cfg.Clock.Now()
 	a, age, err := o.cfg.AdviceClient.Advise(ctx, req)
 	now := o.now()
-	o.mu.Lock()
-	o.planner.ApplyAdvice(req, a.Tickets, err == nil, now.Ms-age.Milliseconds(), now)
-	o.mu.Unlock()
+	o.locked(func() { o.planner.ApplyAdvice(req, a.Tickets, err == nil, now.Ms-age.Milliseconds(), now) })
 	o.cfg.Metrics.countAdvice(err == nil)
 	o.log.Info("advice", "step", req.Step, "asked", len(req.Workers), "allowed", len(a.Tickets), "desk", req.Host,
 		"costMs", int(req.ResponseMs), "tookMs", o.cfg.Clock.Now().Sub(sent).Milliseconds(), "err", errText(err))
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -7,6 +7,7 @@
 
 	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/guard"
 	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/plat/ports"
 )
@@ -64,12 +65,12 @@
 	outcome := sched.StartUnknown
 	var err error
 	for try := 0; try < startTries && outcome == sched.StartUnknown; try++ {
-		o.mu.Lock()
 		end := int64(0)
-		if o.planner.ShouldSend(s) {
-			end = o.renewedLeaseEnd(s.Worker)
-		}
-		o.mu.Unlock()
+		o.locked(func() {
+			if o.planner.ShouldSend(s) {
+				end = o.renewedLeaseEnd(s.Worker)
+			}
+		})
 		if end == 0 {
 			if try == 0 {
 				outcome = sched.StartRefused // nothing has been sent
@@ -87,10 +88,10 @@
 		outcome = startOutcome(err, try)
 		o.stopIfFenced(err)
 	}
-	o.mu.Lock()
-	o.planner.ApplyStartOutcome(s, outcome, o.now())
-	o.dispatchStops()
-	o.mu.Unlock()
+	o.locked(func() {
+		o.planner.ApplyStartOutcome(s, outcome, o.now())
+		o.dispatchStops()
+	})
 	if outcome != sched.StartConfirmed {
 		o.wakePlanner()
 	}
@@ -146,7 +147,7 @@
 	for _, s := range o.planner.TakeStops() {
 		if !o.stopsInFlight[s] {
 			o.stopsInFlight[s] = true
-			go o.sendStop(s)
+			go o.guarded("stop", func() { o.sendStop(s) })
 		}
 	}
 }
@@ -163,9 +164,7 @@
 		info, ok := o.worker(s.Worker)
 		if !ok {
 			o.log.Info("stop not sent, the address of the worker is not known", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker)
-			o.mu.Lock()
-			o.planner.StopNotSent(s)
-			o.mu.Unlock()
+			o.locked(func() { o.planner.StopNotSent(s) })
 			return
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, stopTimeout)
@@ -197,9 +196,7 @@
 	case reason == ports.RefusedIncarnation:
 		return true
 	}
-	o.mu.Lock()
-	o.planner.StopConfirmed(s, o.now())
-	o.mu.Unlock()
+	o.locked(func() { o.planner.StopConfirmed(s, o.now()) })
 	return true
 }
 
@@ -280,7 +277,8 @@
 }
 
 // callHeartbeat sends a heartbeat with its timeout.
-func (o *Owner) callHeartbeat(ctx context.Context, req ports.HeartbeatRequest) (ports.HeartbeatResponse, error) {
+func (o *Owner) callHeartbeat(ctx context.Context, req ports.HeartbeatRequest) (h ports.HeartbeatResponse, err error) {
+	defer guard.Error(&err, o.log, "heartbeat")
 	ctx, cancel := context.WithTimeout(ctx, req.Wait+heartbeatTimeout)
 	defer cancel()
 	return o.cfg.Workers.Heartbeat(ctx, req)
@@ -304,24 +302,28 @@
 	}
 	readAt := o.cfg.Clock.Now()
 	o.cfg.Metrics.countHeartbeat(err)
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if err != nil {
-		if o.ctx.Err() == nil { // otherwise the call was cancelled by this host
+	o.locked(func() {
+		if err == nil {
+			unstoredEnds = o.applyHeartbeat(info.ID, h, sent, readAt)
+		} else if o.ctx.Err() == nil { // otherwise the call was cancelled by this host
 			o.heartbeatFailed(info, err)
 		}
-		return false, err
-	}
-	o.workerClocks[info.ID] = workerClock{ms: h.ClockMs, readAt: readAt, incarnation: h.Incarnation}
-	lastApplied := o.planner.AppliedSeq(info.ID)
-	o.planner.ApplyReport(info.ID, sched.WorkerReport{SentMs: sent.Ms, Incarnation: h.Incarnation, Running: h.Running, Finished: h.Finished}, o.now())
-	o.logEnds(info.ID, lastApplied, h.Finished)
-	o.dispatchStops()
-	unstoredEnds = o.planner.AppliedSeq(info.ID) > o.planner.StoredSeq(info.ID)
-	if unstoredEnds || !clockKnown {
+	})
+	if unstoredEnds || err == nil && !clockKnown {
 		o.wakePlanner()
 	}
-	return unstoredEnds, nil
+	return unstoredEnds, err
+}
+
+// applyHeartbeat applies the answer to a heartbeat that was sent at sent. It reports
+// whether some of the ended runs are not stored yet. The caller holds o.mu.
+func (o *Owner) applyHeartbeat(id string, h ports.HeartbeatResponse, sent sched.Instant, readAt time.Time) (unstoredEnds bool) {
+	o.workerClocks[id] = workerClock{ms: h.ClockMs, readAt: readAt, incarnation: h.Incarnation}
+	lastApplied := o.planner.AppliedSeq(id)
+	o.planner.ApplyReport(id, sched.WorkerReport{SentMs: sent.Ms, Incarnation: h.Incarnation, Running: h.Running, Finished: h.Finished}, o.now())
+	o.logEnds(id, lastApplied, h.Finished)
+	o.dispatchStops()
+	return o.planner.AppliedSeq(id) > o.planner.StoredSeq(id)
 }
 
 // logEnds logs the ended runs with a number above lastApplied.
@@ -373,13 +375,13 @@
 	if err != nil {
 		return next, err
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	for _, r := range page.Records {
-		o.applyEntry(r)
-		next = r.Offset + 1
-	}
-	o.startHeartbeats()
+	o.locked(func() {
+		for _, r := range page.Records {
+			o.applyEntry(r)
+			next = r.Offset + 1
+		}
+		o.startHeartbeats()
+	})
 	return next, nil
 }
 
@@ -390,19 +392,19 @@
 	if err != nil {
 		return -1, err
 	}
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	present := map[string]bool{}
-	for _, r := range all {
-		present[o.cfg.WorkerID(r.Key)] = true
-		o.applyEntry(r)
-	}
-	for _, info := range o.planner.WorkersToRenew() {
-		if !present[info.ID] {
-			o.planner.DropWorker(info.ID)
+	o.locked(func() {
+		present := map[string]bool{}
+		for _, r := range all {
+			present[o.cfg.WorkerID(r.Key)] = true
+			o.applyEntry(r)
 		}
-	}
-	o.startHeartbeats()
+		for _, info := range o.planner.WorkersToRenew() {
+			if !present[info.ID] {
+				o.planner.DropWorker(info.ID)
+			}
+		}
+		o.startHeartbeats()
+	})
 	return end, nil
 }
 
@@ -417,7 +419,7 @@
 		o.planner.DropWorker(id)
 		return
 	}
-	info, err := o.cfg.ParseWorker(r.Key, r.Value)
+	info, err := o.parseWorker(r)
 	if err != nil {
 		if skipped, ok := o.oddEntries.Allow(o.cfg.Clock.Now()); ok {
 			text := err.Error() // may quote the entry
@@ -428,6 +430,12 @@
 	o.planner.SetWorker(info, o.now())
 }
 
+// parseWorker decodes a registry entry. A panic of the decoder costs only this entry.
+func (o *Owner) parseWorker(r ports.Record) (info sched.WorkerInfo, err error) {
+	defer guard.Error(&err, o.log, "registry entry")
+	return o.cfg.ParseWorker(r.Key, r.Value)
+}
+
 // startHeartbeats starts a heartbeat loop for each worker that the planner tracks
 // and that has none. The caller holds o.mu.
 func (o *Owner) startHeartbeats() {
@@ -439,7 +447,7 @@
 		o.heartbeatLoops[info.ID] = cancel
 		go func() {
 			defer cancel()
-			o.heartbeatLoop(ctx, info.ID)
+			o.guarded("heartbeat loop", func() { o.heartbeatLoop(ctx, info.ID) })
 			o.mu.Lock()
 			delete(o.heartbeatLoops, info.ID)
 			o.mu.Unlock()
