--- a/internal/plat/fakes/simfleet.go
+++ b/internal/plat/fakes/simfleet.go
@@ -33,10 +33,12 @@
 	ackedTasks map[string]bool // tasks whose successful end the scheduler has acknowledged
 	doneTasks  map[string]bool // tasks that have ended successfully
 	starts     int
-	deadly     map[string]DeadlyTask // by task
-	crashes    map[string]int        // workers that crashed under a deadly task
-	overrun    map[string]int        // starts of a deadly task after maxCrashStarts workers crashed
-	nextID     int                   // number of the next worker that returns with a new ID
+
+	startedJobs map[string]bool
+	deadly      map[string]DeadlyTask // by task
+	crashes     map[string]int        // workers that crashed under a deadly task
+	overrun     map[string]int        // starts of a deadly task after maxCrashStarts workers crashed
+	nextID      int                   // number of the next worker that returns with a new ID
 }
 
 // DeadlyTask describes a task that crashes each worker that starts it.
@@ -154,7 +156,7 @@
 	f := &SimFleet{
 		rand: rand.New(rand.NewSource(cfg.Seed)), workers: map[string]*simWorker{}, specs: map[string]sched.Spec{},
 		quotas: map[string]jobs.Size{}, ackedTasks: map[string]bool{}, doneTasks: map[string]bool{},
-		deadly: map[string]DeadlyTask{}, crashes: map[string]int{}, overrun: map[string]int{}, nextID: cfg.Workers,
+		startedJobs: map[string]bool{}, deadly: map[string]DeadlyTask{}, crashes: map[string]int{}, overrun: map[string]int{}, nextID: cfg.Workers,
 	}
 	for i := range cfg.Workers {
 		rack := fmt.Sprintf("r%d", i/max(cfg.Rack, 1))
@@ -328,6 +330,41 @@
 	return n
 }
 
+// RunningTasks returns the tasks of all active runs.
+func (f *SimFleet) RunningTasks() (tasks []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		tasks = slices.AppendSeq(tasks, maps.Keys(w.runs))
+	}
+	return tasks
+}
+
+// Started reports whether any task of the job has started.
+func (f *SimFleet) Started(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.startedJobs[job]
+}
+
+// AllDone reports whether all tasks of a registered job have ended successfully.
+func (f *SimFleet) AllDone(job string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for step, s := range f.specs[job].Steps {
+		for i := range s.Count {
+			task := sched.Ref{Job: job, Step: step, Index: i}
+			if s.Gang {
+				task.Index = 0 // one end of a gang stands for all
+			}
+			if !f.doneTasks[task.String()] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // clock returns the time of the worker's clock, which runs 2% slow and restarts
 // at 1000 at each boot.
 func (w *simWorker) clock(nowMs int64) int64 { return (nowMs-w.bootMs)*98/100 + 1000 }
@@ -578,6 +615,7 @@
 	step := spec.Steps[ref.Step]
 	f.checkStart(w, o, sentMs, spec, step)
 	f.starts++
+	f.startedJobs[ref.Job] = true
 	r := &simRun{
 		number: o.Run, size: step.Size, team: spec.Team, startMs: nowMs, runMs: step.EstimateMs, fails: f.rand.Float64() < f.faults.Fail,
 	}
