Let a gang be the probe of a worker, and bound its quarantine to 10 s

Cause: probation ends by the success of a run, and a gang got no place on a worker on probation; other tasks prefer fuller workers. A quarantine could last 300 s.

Change: the members of one gang may be the probe; a gang takes such workers last.

--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -216,6 +216,7 @@
 	remote   bool  // not in the rack that holds the data
 	reserved bool  // reserved for a gang of lower priority
 	suspect  bool  // another suspect has just started there; see crash.go
+	probing  bool  // on probation, and the step is a gang, which would fail as a whole
 	slowdown int   // slowdown class of the worker
 	freeCPU  int64 // free CPU after placing one task
 }
@@ -243,9 +244,10 @@
 }
 
 // placementOptions returns the workers on which tasks of a step instance can be placed.
-// If the step has a suspect, workers without another one go first. Then come workers near
-// the data, unreserved ones, then fast ones, and then those with the least free CPU, which
-// keeps the others free for tasks that need much CPU.
+// A gang takes workers on probation last. If the step has a suspect, workers without
+// another one go first. Then come workers near the data, unreserved ones, then fast ones,
+// and then those with the least free CPU, which keeps the others free for tasks that need
+// much CPU.
 func (p *Planner) placementOptions(si *stepInstance, n int, plan *Plan, now Instant) (list []placementOption) {
 	s := si.spec()
 	avoidSuspects := stepCrashes(si.tasks()) > 0
@@ -263,10 +265,13 @@
 		list = append(list, placementOption{
 			w: w, slots: free, remote: s.DataRack != "" && w.Rack != s.DataRack, reserved: now.Ms < w.reservation.untilMs && w.reservation.stepKey != si.key(),
 			slowdown: p.estimator.slowdownClass(w.ID), freeCPU: w.free().CPU - s.Size.CPU,
-			suspect: avoidSuspects && p.hostsSuspect(w),
+			suspect: avoidSuspects && p.hostsSuspect(w), probing: s.Gang && p.trust.State(w.ID, now.Ms) == trust.Probing,
 		})
 	}
 	sort.Slice(list, func(a, b int) bool {
+		if list[a].probing != list[b].probing {
+			return !list[a].probing
+		}
 		if list[a].suspect != list[b].suspect {
 			return !list[a].suspect
 		}
@@ -317,7 +322,7 @@
 	}
 	limit = p.withinWorkerLimit(si, w, limit)
 	if p.trust.State(w.ID, now.Ms) == trust.Probing {
-		limit = min(limit, p.probeSlots(si, w, now))
+		limit = p.probeSlots(si, w, limit, now)
 	}
 	return max(slots(w.free(), si.spec().demand(), limit), 0)
 }
@@ -341,24 +346,29 @@
 	return n
 }
 
+// maxQuarantineMs is the longest time until a worker is probed again. It is shorter than
+// the 14 s after the end of the traffic at which the platform expects each job to run: a
+// worker may be the only one that suits a job.
+const maxQuarantineMs = 10_000
+
 // lastingProbeMs is the run time after which a long-running task no longer counts as a
 // probe: unlike other tasks, it does not show by its end that the worker works.
 const lastingProbeMs = 5_000
 
-// probeSlots returns how many more tasks may be placed on a worker in state
-// Probing: one at a time, and none of a gang.
-func (p *Planner) probeSlots(si *stepInstance, w *Worker, now Instant) int {
-	if si.spec().Gang {
-		return 0
-	}
-	n := 1
+// probeSlots returns how many more tasks may be placed on a worker in state Probing, up to
+// limit: one at a time, or the members of one gang. A gang has to be a possible probe,
+// since it may be all that suits the worker; placementOptions lets it prefer others.
+func (p *Planner) probeSlots(si *stepInstance, w *Worker, limit int, now Instant) int {
 	for ref, a := range w.allocations {
 		if a.phase == phaseRunning && now.Ms-a.phaseStartMs >= lastingProbeMs && p.isLongRunning(ref) {
 			continue
 		}
-		n--
+		return 0
 	}
-	return n
+	if si.spec().Gang {
+		return limit
+	}
+	return min(limit, 1)
 }
 
 // isLongRunning reports whether a task is long-running.
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -159,7 +159,7 @@
 	p := &Planner{
 		cfg: cfg, state: cfg.State, tickMs: now.Ms, workers: map[string]*Worker{}, used: map[string]jobs.Size{},
 		steps: map[stepKey]*stepInstance{}, waiting: map[stepKey]*stepInstance{}, dirty: map[string]bool{},
-		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{}), allowedShares: map[string]*allowedShare{},
+		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{MaxQuarantineMs: maxQuarantineMs}), allowedShares: map[string]*allowedShare{},
 		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]workerLoss{}, setAside: map[string]bool{},
 	}
 	for id, j := range cfg.State.Jobs {
