--- a/internal/cell/sched/parts.go
+++ b/internal/cell/sched/parts.go
@@ -22,6 +22,10 @@
 // partPrefix begins the key of a part: partPrefix, the key of the value, ".", index.
 const partPrefix = "x"
 
+// generationBits is the size of the part of a generation that an owner counts; the rest is
+// its epoch, so that no two values have the same.
+const generationBits = 32
+
 // part is the stored form of one part of a value.
 type part struct {
 	Generation int64
@@ -138,9 +142,9 @@
 		b.add(key, value)
 		return nil
 	}
-	next := &partSet{generation: 1, count: (len(value) + limit - 1) / limit}
+	p.lastGeneration++
+	next := &partSet{generation: p.state.Claim.Epoch<<generationBits + p.lastGeneration, count: (len(value) + limit - 1) / limit}
 	if set != nil {
-		next.generation = set.generation + 1
 		p.deleteParts(b, key, next.count)
 	} else if key[:1] != specPrefix { // a description is stored once, and deleting it deletes the job
 		b.add(key, nil)
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -143,6 +143,7 @@
 	crashes        []Crash                 // not taken by TakeCrashes yet
 	fullJobs       []string                // not taken by TakeFullJobs yet
 	setAside       map[string]bool         // jobs whose records the store refuses; see Refused
+	lastGeneration int64                   // of a value stored in parts, without the epoch
 	losses         []workerLoss            // recent losses of workers
 	verdicts       map[Ref]workerLoss      // suspects that will be given up unless their loss was an outage
 }
