--- /dev/null
+++ b/cmd/lagooncourse/soakclient_test.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"strings"
+	"time"
+
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/cell/sched"
+	"lagooncourse/platform/mock"
+)
+
+// call sends one request over the client's open connection, and returns status and body.
+// The status is 0 if there was no answer.
+func (s *soak) call(c *http.Client, h *soakHost, method, id string, body []byte) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), soakCallTime)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.api+"/q/"+id, bytes.NewReader(body))
+	if err != nil {
+		return 0, ""
+	}
+	r.Host = "h.example"
+	r.Header.Set("Authorization", "Bearer k")
+	r.Header.Set("X-Lagooncourse-Deadline-Ms", fmt.Sprint(soakCallTime.Milliseconds()))
+	resp, err := c.Do(r)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	data, _ := io.ReadAll(resp.Body)
+	return resp.StatusCode, string(data)
+}
+
+// client hands in jobs one after the other, asks for them, and cancels some.
+func (s *soak) client(n int, rnd *rand.Rand) {
+	defer s.clients.Done()
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
+	at := n
+	for i := 0; ; i++ {
+		select {
+		case <-s.stop:
+			return
+		default:
+		}
+		j := &soakJob{id: fmt.Sprintf("%08x%08x", n, i)}
+		s.submit(c, j, &at, rnd)
+		if j.accepted.IsZero() {
+			continue
+		}
+		if rnd.Intn(4) == 0 {
+			time.Sleep(time.Duration(rnd.Intn(800)) * time.Millisecond)
+			s.cancel(c, j, &at)
+			continue
+		}
+		for range rnd.Intn(3) {
+			time.Sleep(time.Duration(rnd.Intn(300)) * time.Millisecond)
+			s.ask(c, j, &at)
+		}
+	}
+}
+
+// submit hands in a job until a host accepts it. Without an answer, the same job is handed
+// in again at another host.
+func (s *soak) submit(c *http.Client, j *soakJob, at *int, rnd *rand.Rand) {
+	spec := sched.Spec{ID: j.id, Payload: "p"}
+	steps := 1 + rnd.Intn(2)
+	long := rnd.Intn(8) == 0 // outlasts the bounds, so that a run that is not stopped is seen
+	for i := range steps {
+		step := sched.Step{Count: 1 + rnd.Intn(3), Size: jobs.Size{CPU: int64(200 + rnd.Intn(1500)), Mem: 10}, EstimateMs: int64(50 + rnd.Intn(900)), Gang: rnd.Intn(5) == 0}
+		if i > 0 {
+			step.DependsOn = []int{0}
+		}
+		spec.Steps = append(spec.Steps, step)
+	}
+	if long {
+		spec.Steps = spec.Steps[:1]
+		spec.Steps[0].EstimateMs += 10_000
+	}
+	s.fleet.RegisterJob(spec)
+	s.mu.Lock()
+	s.jobs = append(s.jobs, j)
+	s.mu.Unlock()
+	unknown := false
+	for try := 0; try < 8; try++ {
+		status, _ := s.call(c, s.hosts[*at%len(s.hosts)], http.MethodPost, j.id, mock.JobBody(spec))
+		s.mu.Lock()
+		switch {
+		case status/100 == 2:
+			j.accepted = time.Now()
+		case status == 0 || status == http.StatusBadGateway || status == http.StatusGatewayTimeout || status == http.StatusInternalServerError:
+			unknown = true
+		}
+		s.mu.Unlock()
+		if status/100 == 2 {
+			return
+		}
+		*at++
+		time.Sleep(200 * time.Millisecond)
+	}
+	s.mu.Lock()
+	j.refused = !unknown
+	s.mu.Unlock()
+}
+
+// cancel cancels a job until that is acknowledged.
+func (s *soak) cancel(c *http.Client, j *soakJob, at *int) {
+	s.mu.Lock()
+	j.cancelling = true
+	s.mu.Unlock()
+	for end := time.Now().Add(soakCancelTime); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		status, _ := s.call(c, s.hosts[*at%len(s.hosts)], http.MethodDelete, j.id, nil)
+		if status/100 == 2 || status == http.StatusGone {
+			s.mu.Lock()
+			j.cancelled = time.Now()
+			s.mu.Unlock()
+			return
+		}
+		*at++
+	}
+}
+
+// ask asks for the state of a job and checks the answer.
+func (s *soak) ask(c *http.Client, j *soakJob, at *int) {
+	sent := time.Now()
+	status, body := s.call(c, s.hosts[*at%len(s.hosts)], http.MethodGet, j.id, nil)
+	s.mu.Lock()
+	cancelling, accepted := j.cancelling, j.accepted
+	s.mu.Unlock()
+	switch {
+	case status == 0 || status >= http.StatusInternalServerError:
+		*at++
+	case status == http.StatusGone && sent.Sub(accepted) > soakVisible:
+		s.find("LOST: accepted job %s is answered 410", j.id)
+	case strings.Contains(body, "completed"):
+		if !s.fleet.AllDone(j.id) {
+			s.find("MIXED: job %s is shown as completed, but is not done", j.id)
+		}
+		s.end(j, "completed")
+	case strings.Contains(body, "cancelled"):
+		if !cancelling {
+			s.find("LOST: job %s is shown as cancelled", j.id)
+		}
+		s.end(j, "cancelled")
+	case strings.Contains(body, "failed"):
+		s.find("LOST: job %s is shown as failed", j.id)
+		s.end(j, "failed")
+	}
+}
+
+func (s *soak) end(j *soakJob, state string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	j.ended = state
+}
--- a/internal/cell/sched/graph_test.go
+++ b/internal/cell/sched/graph_test.go
@@ -34,7 +34,7 @@
 }
 
 // within fails the test if f takes longer than limit, which has to be far above what f
-// takes on a slow machine: it tells apart work that grows with the size of its input and
+// takes on a slow machine: it separates work that grows with the size of its input and
 // work that grows exponentially.
 func within(t *testing.T, limit time.Duration, what string, f func()) {
 	t.Helper()
