--- a/cmd/lagooncourse/soak_test.go
+++ b/cmd/lagooncourse/soak_test.go
@@ -169,8 +169,12 @@
 
 // writeEntries writes the registry entries of all workers.
 func (s *soak) writeEntries() {
-	for i, w := range s.fleet.Entries() {
-		s.store.Put(platform.TopicWorkers, w.ID, mock.Entry(w, s.execs[i].Addr()))
+	addrs := map[string]string{}
+	for i, id := range s.fleet.IDs() {
+		addrs[id] = s.execs[i].Addr()
+	}
+	for _, w := range s.fleet.Entries() {
+		s.store.Put(platform.TopicWorkers, w.ID, mock.Entry(w, addrs[w.ID]))
 	}
 }
 
