--- a/cmd/lagooncourse/soak_test.go
+++ b/cmd/lagooncourse/soak_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -206,6 +207,7 @@
 	}
 	cmd := exec.Command(os.Args[0], "serve", "--settings", h.settings)
 	cmd.Env = append(os.Environ(), roleEnv+"=1")
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a host that outlives the test would call the workers of the next one
 	out, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	assert.NilError(s.t, err)
 	cmd.Stdout, cmd.Stderr = out, out
