The host that answers a cancellation or acceptance logs it

What operators saw: a run went on after its job was cancelled, and no line of any host told when the cancelling was acknowledged, by which owner or in which epoch. Cause: only the owner logs `accepted job` and `cancelled job`. The host that had the caller's connection wrote nothing on success, so both facts were gone with the owner's process. An acceptance had the same gap. Change: `cancellation answered` for 2xx and 410, with status, address and epoch of the owner, tries and time, at most 100 lines a second; `submission answered` if another host is the owner, at most 20 a second. Lines left out are counted in `skipped`. The line is written before the response. An answer between hosts has the owner's epoch as a new last field; 0 from an earlier version, for which the epoch known to the host is logged. Result: TestAnswersAreLoggedByTheHost, TestAnswerLinesAreBounded pass; neither line existed before.

--- a/internal/node/gate/api.go
+++ b/internal/node/gate/api.go
@@ -23,6 +23,8 @@
 	defaultBodyLimit     = 256 << 10 // bytes
 	retryAfterSeconds    = 1         // minimum Retry-After value
 	maxDenialLines       = 50        // log lines a second about jobs that do not exist
+	maxCancelLines       = 100       // log lines a second about answered cancellations
+	maxAcceptLines       = 20        // log lines a second about submissions that another host has accepted
 )
 
 // serveAPI serves a client request.
@@ -32,18 +34,44 @@
 	defer h.recoverPanic(w, r)
 	startedAt := h.clock.Now()
 	c, err := h.parseCall(r)
-	var a callAnswer
+	var a ownerAnswer
 	if err == nil {
 		a, err = h.dispatch(r.Context(), c, h.clientTimeout(r))
 	}
 	h.logGone(r, startedAt)
-	status := h.reply(w, c, a, err)
+	h.logAnswer(c, a, err, startedAt)
+	status := h.reply(w, c, a.callAnswer, err)
 	h.metrics.observeRequest(c.Kind, status, h.clock.Now().Sub(startedAt))
 	if err != nil {
 		h.logRefusal(c, status, err)
 	}
 }
 
+// logAnswer logs that a cancellation is about to be answered as done or with 410, or a
+// submission as accepted by the owner on another host. The owner logs both as well, but
+// its log may end with its process.
+func (h *Host) logAnswer(c callMsg, a ownerAnswer, err error, startedAt time.Time) {
+	msg, limiter := "cancellation answered", &h.cancels
+	switch {
+	case c.Kind == callCancel && (err == nil || isGone(c, fault.From(err))):
+	case c.Kind == callSubmit && err == nil && a.owner != h.addr:
+		msg, limiter = "submission answered", &h.accepts
+	default:
+		return
+	}
+	now := h.clock.Now()
+	skipped, ok := limiter.Allow(now)
+	if !ok {
+		return
+	}
+	status, text := http.StatusOK, ""
+	if err != nil {
+		status, text = http.StatusGone, err.Error()
+	}
+	h.log.Info(msg, "job", c.ID, "status", status, "ownerHere", a.owner == h.addr, "ownerAddr", a.owner, "epoch", a.epoch,
+		"tries", a.tries, "tookMs", now.Sub(startedAt).Milliseconds(), "err", text, "skipped", skipped)
+}
+
 // logRefusal logs an error response. Of the responses to status requests, it logs only
 // that the job does not exist.
 func (h *Host) logRefusal(c callMsg, status int, err error) {
@@ -129,19 +157,28 @@
 	return c, nil
 }
 
+// ownerAnswer is the answer to a call, with the owner that was called last.
+type ownerAnswer struct {
+	callAnswer
+	owner string // address of its host; empty if no owner is known
+	epoch int64  // in which it answered; in which this host knows it, if it failed the call
+	tries int
+}
+
 // dispatch sends a call to the owner, on this host or another, and retries it for
 // up to ownerWait while no owner is available. An error with a Retry-After value
 // ends the retries, unless it is NotOwner. All calls are idempotent: a submission
 // carries the job ID. If any try may have reached an owner, the call fails with
 // outcome Unknown, never NotRun, unless the owner answers that the job does not exist.
-func (h *Host) dispatch(ctx context.Context, c callMsg, wait time.Duration) (a callAnswer, err error) {
+func (h *Host) dispatch(ctx context.Context, c callMsg, wait time.Duration) (a ownerAnswer, err error) {
 	startedAt := h.clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, max(wait-responseMargin, responseMargin))
 	defer cancel()
 	defer context.AfterFunc(h.requests, cancel)()
 	mayHaveRun := false
-	for {
+	for tries := 1; ; tries++ {
 		a, err = h.tryOnce(ctx, c)
+		a.tries = tries
 		e := fault.From(err)
 		if err == nil || !retryable(e) {
 			if mayHaveRun && e != nil && e.Outcome == fault.NotRun && e.Code != fault.NotFound {
@@ -177,19 +214,27 @@
 }
 
 // tryOnce sends a call to the owner once.
-func (h *Host) tryOnce(ctx context.Context, c callMsg) (a callAnswer, err error) {
+func (h *Host) tryOnce(ctx context.Context, c callMsg) (a ownerAnswer, err error) {
 	h.mu.Lock()
 	o, owner, now := h.localOwner, h.owner, h.clock.Now()
 	h.mu.Unlock()
-	if o != nil && o.Stalled() == 0 { // a stalled owner would never answer
-		return h.serveCall(ctx, c)
-	}
-	if owner.addr == "" || owner.addr == h.addr || now.Sub(owner.lastContact) > suspectAfter {
+	a.epoch = owner.epoch
+	switch {
+	case o != nil && o.Stalled() == 0: // a stalled owner would never answer
+		a.owner = h.addr
+		a.callAnswer, err = h.serveCall(ctx, c)
+	case owner.addr == "" || owner.addr == h.addr || now.Sub(owner.lastContact) > suspectAfter:
 		return a, fault.New(fault.NotOwner, fault.NotRun, "no owner is known")
+	default:
+		ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+		defer cancel()
+		a.owner = owner.addr
+		a.callAnswer, err = frame.Call(ctx, h.pool, owner.addr, callMethod, c)
 	}
-	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
-	defer cancel()
-	return frame.Call(ctx, h.pool, owner.addr, callMethod, c)
+	if a.Epoch > 0 {
+		a.epoch = a.Epoch
+	}
+	return a, err
 }
 
 // serveCall executes a call if this host is the owner.
@@ -200,6 +245,7 @@
 	if o == nil || o.Stalled() > 0 {
 		return a, fault.New(fault.NotOwner, fault.NotRun, "this host does not own the jobs")
 	}
+	a.Epoch = o.Epoch()
 	switch c.Kind {
 	case callSubmit:
 		return a, o.Submit(ctx, c.Spec)
@@ -236,10 +282,15 @@
 	return http.StatusOK
 }
 
+// isGone reports whether e says that the job of a request does not exist.
+func isGone(c callMsg, e *fault.Error) bool {
+	return e.Code == fault.NotFound && (c.Kind == callStatus || c.Kind == callCancel) && c.ID != ""
+}
+
 // replyError writes a problem document and returns its status code. An unknown job
 // gets 410 Gone, since 404 Not Found means that the queue does not exist.
 func (h *Host) replyError(w http.ResponseWriter, c callMsg, e *fault.Error) int {
-	if e.Code == fault.NotFound && (c.Kind == callStatus || c.Kind == callCancel) && c.ID != "" {
+	if isGone(c, e) {
 		w.WriteHeader(http.StatusGone)
 		return http.StatusGone
 	}
--- a/internal/node/gate/api_test.go
+++ b/internal/node/gate/api_test.go
@@ -77,3 +77,83 @@
 		})
 	}
 }
+
+// answerLine is a log line about an answered cancellation or submission.
+type answerLine struct {
+	Msg, Host, Job, OwnerAddr, Err        string
+	OwnerHere                             bool
+	Status, Epoch, Tries, TookMs, Skipped int
+}
+
+// TestAnswersAreLoggedByTheHost cancels jobs through the owner and through another host.
+// The host that answers must log it, since the owner may be killed right after.
+func TestAnswersAreLoggedByTheHost(t *testing.T) {
+	var out lockedBuffer
+	c := newLoggedCluster(t, 2, logs.NewJSON(&out, "info"))
+	c.awaitReady()
+	owner := c.owner()
+	other := 1 - owner
+	const longMs = 60_000
+	for id, i := range map[string]int{"local": owner, "remote": other} {
+		assert.Equal(t, c.submit(i, id, longMs), http.StatusOK)
+		status, _ := c.call(i, "DELETE", "/q/"+id, "")
+		assert.Equal(t, status, http.StatusOK)
+	}
+	status, _ := c.call(other, "DELETE", "/q/none", "")
+	assert.Equal(t, status, http.StatusGone)
+	c.hosts[owner].mu.Lock()
+	epoch := int(c.hosts[owner].owner.epoch)
+	c.hosts[owner].mu.Unlock()
+
+	got := map[string]answerLine{}
+	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
+		var l answerLine
+		assert.NilError(t, json.Unmarshal([]byte(text), &l), "%s", text)
+		if strings.HasSuffix(l.Msg, " answered") {
+			got[l.Msg+" "+l.Job] = l
+		}
+	}
+	assert.Equal(t, len(got), 4, "%v", got)
+	for key, want := range map[string]struct{ at, status int }{
+		"cancellation answered local": {owner, 200}, "cancellation answered remote": {other, 200},
+		"submission answered remote": {other, 200}, "cancellation answered none": {other, 410},
+	} {
+		l, ok := got[key]
+		assert.Assert(t, ok, key)
+		assert.Equal(t, l.Host, fmt.Sprint("h", want.at), key)
+		assert.Equal(t, l.Status, want.status, key)
+		assert.Equal(t, l.OwnerHere, want.at == owner, key)
+		assert.Equal(t, l.OwnerAddr, c.hosts[owner].addr, key)
+		assert.Equal(t, l.Epoch, epoch, key)
+		assert.Assert(t, l.Tries >= 1, key)
+		assert.Equal(t, l.Err != "", want.status == 410, key)
+	}
+}
+
+// TestAnswerLinesAreBounded checks that a flood of cancellations leaves a bounded number
+// of lines, and that the lines left out are counted.
+func TestAnswerLinesAreBounded(t *testing.T) {
+	var out bytes.Buffer
+	c := clock.NewManual(time.Unix(1000, 0))
+	const lines, n = 3, 20
+	h := &Host{clock: c, log: logs.NewJSON(&out, "info"), addr: "a", cancels: logs.Limiter{Lines: lines, Interval: time.Second}}
+	answer := func() {
+		h.logAnswer(callMsg{Kind: callCancel, ID: "j"}, ownerAnswer{owner: "b", epoch: 7, tries: 2}, nil, c.Now().Add(-40*time.Millisecond))
+	}
+	for range n {
+		answer()
+	}
+	h.logAnswer(callMsg{Kind: callCancel, ID: "j"}, ownerAnswer{}, fault.New(fault.Timeout, fault.Unknown, "no answer"), c.Now())
+	c.Advance(time.Second)
+	answer()
+	list := strings.Split(strings.TrimSpace(out.String()), "\n")
+	assert.Equal(t, len(list), lines+1, "%s", out.String())
+	var last answerLine
+	assert.NilError(t, json.Unmarshal([]byte(list[lines]), &last))
+	assert.Equal(t, last.Skipped, n-lines)
+	assert.Equal(t, last.OwnerAddr, "b")
+	assert.Equal(t, last.Epoch, 7)
+	assert.Equal(t, last.Tries, 2)
+	assert.Equal(t, last.TookMs, 40)
+	assert.Assert(t, !last.OwnerHere)
+}
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -104,6 +104,8 @@
 	reg         *prometheus.Registry
 	metrics     *metrics
 	denials     logs.Limiter // of the log lines about jobs that do not exist
+	cancels     logs.Limiter // of the log lines about answered cancellations
+	accepts     logs.Limiter // of the log lines about submissions that another host has accepted
 	leadMetrics *lead.Metrics
 
 	cancel      context.CancelFunc
@@ -141,6 +143,7 @@
 		pool: frame.NewPool(frame.PoolConfig{}), peers: map[string]*peer{}, ownerCh: make(chan struct{}),
 		replica: newReplica(), hostsLoaded: make(chan struct{}), reg: prometheus.NewRegistry(),
 		denials: logs.Limiter{Lines: maxDenialLines, Interval: time.Second}, panics: logs.Limiter{Lines: maxUnansweredLines, Interval: time.Second},
+		cancels: logs.Limiter{Lines: maxCancelLines, Interval: time.Second}, accepts: logs.Limiter{Lines: maxAcceptLines, Interval: time.Second},
 		disconnects: logs.Limiter{Lines: maxUnansweredLines, Interval: time.Second},
 	}
 	h.requests, h.endRequests = context.WithCancel(context.Background())
--- a/internal/node/gate/wire.go
+++ b/internal/node/gate/wire.go
@@ -55,6 +55,7 @@
 type callAnswer struct {
 	Status  sched.Status // for callStatus
 	Pending int          // for callPending
+	Epoch   int64        // of the owner; 0 from hosts of an earlier version
 }
 
 // adviseMsg is an advice request.
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -225,6 +225,9 @@
 // Done returns a channel that is closed when all loops of the owner have ended.
 func (o *Owner) Done() <-chan struct{} { return o.done }
 
+// Epoch returns the epoch of the ownership.
+func (o *Owner) Epoch() int64 { return o.cfg.Claim.Epoch }
+
 // Stop gives up ownership, and reports whether this call did. The write loop then fails
 // the submissions and cancellations that are not confirmed as stored.
 func (o *Owner) Stop(reason string) (stopped bool) {
