Lines of the log outlive a killed process; dropped lines are a metric

Lines lost at a kill, or dropped by the full queue, were possible causes. Change: the daemon enlarges the pipe of its log to 256 KiB, about 400 ms of lines; lines in a pipe outlive their writer. The total of dropped lines is the metric lagooncourse_log_lines_dropped_total, and the line about them has a time.

--- a/internal/base/logs/async.go
+++ b/internal/base/logs/async.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/zeromicro/go-zero/core/logx"
@@ -21,10 +22,11 @@
 // AsyncWriter is a non-blocking writer with a bounded queue. When the queue is full, it
 // drops lines and later writes a JSON line with their number.
 type AsyncWriter struct {
-	w       io.Writer
-	lines   chan []byte
-	dropped atomic.Int64
-	done    chan struct{}
+	w        io.Writer
+	lines    chan []byte
+	dropped  atomic.Int64 // in total
+	reported int64        // of dropped; used by run only
+	done     chan struct{}
 
 	mu     sync.RWMutex
 	closed bool
@@ -54,8 +56,9 @@
 				more = false
 			}
 		}
-		if n := a.dropped.Swap(0); n > 0 {
-			buf = append(buf, fmt.Sprintf("{\"msg\":\"log lines dropped\",\"count\":%d}\n", n)...)
+		if n := a.dropped.Load(); n > a.reported {
+			buf = append(buf, fmt.Sprintf("{\"time\":%q,\"msg\":\"log lines dropped\",\"count\":%d}\n", time.Now().Format(time.RFC3339Nano), n-a.reported)...)
+			a.reported = n
 		}
 		_, _ = a.w.Write(buf) // there is nowhere to report a failed log write
 	}
@@ -79,6 +82,9 @@
 	return len(line), nil
 }
 
+// Dropped returns how many lines were dropped since the start because the queue was full.
+func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
+
 // Close waits until the queued lines are written. It does not close the underlying
 // writer. Lines written after Close are dropped.
 func (a *AsyncWriter) Close() error {
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -86,6 +86,8 @@
 	AppendBytes int   // longest append that the store takes; 0 means the default of package sched
 	Clock       clock.Clock
 	Logger      logr.Logger
+
+	DroppedLines func() int64 // log lines that this process has dropped; nil if unknown
 }
 
 // Host is a running entry host.
@@ -150,7 +152,7 @@
 	h.owner.lastContact = cfg.Clock.Now()
 	h.store = &relayStore{direct: cfg.Store, host: h}
 	h.adviceHosts = &adviceHosts{host: h, busy: map[string]bool{}, retryAt: map[string]time.Time{}}
-	h.metrics = newMetrics(h.reg)
+	h.metrics = newMetrics(h.reg, cfg.DroppedLines)
 	h.leadMetrics = lead.NewMetrics(h.reg)
 	if err := h.listen(); err != nil {
 		h.Kill()
--- a/internal/node/gate/metrics.go
+++ b/internal/node/gate/metrics.go
@@ -21,7 +21,7 @@
 // deadline.
 var requestBuckets = []float64{.002, .005, .01, .025, .05, .1, .25, .5, 1, 2, 3, 5}
 
-func newMetrics(reg *prometheus.Registry) *metrics {
+func newMetrics(reg *prometheus.Registry, droppedLines func() int64) *metrics {
 	m := &metrics{requests: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "lagooncourse_request_seconds", Help: "Time to answer a caller.", Buckets: requestBuckets,
 	}, []string{"kind", "status"})}
@@ -29,6 +29,11 @@
 		Name: "lagooncourse_panics_total", Help: "Panics that were contained; each is a fault in this program.",
 	}, func() float64 { return float64(guard.Count()) })
 	reg.MustRegister(m.requests, panics, collectors.NewGoCollector())
+	if droppedLines != nil {
+		reg.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "lagooncourse_log_lines_dropped_total", Help: "Log lines that were dropped because the reader of the log was too slow.",
+		}, func() float64 { return float64(droppedLines()) }))
+	}
 	return m
 }
 
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -28,6 +28,7 @@
 	stopMargin       = 500 * time.Millisecond  // part of the platform's grace period that a graceful stop leaves unused
 	minStopTime      = 1500 * time.Millisecond // of a graceful stop, if the grace period is shorter
 	maxBufferedLines = 8192                    // log lines buffered for a slow reader
+	logPipeBytes     = 256 << 10               // about 400 ms of log lines at 1,000 starts a second
 )
 
 func newServe() *cobra.Command {
@@ -62,9 +63,14 @@
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(float64(set.MemoryMiB<<20) * heapFraction))
 	}
+	if f, ok := w.(*os.File); ok {
+		logs.GrowPipe(f, logPipeBytes)
+	}
 	out := logs.NewAsyncWriter(w, maxBufferedLines)
 	defer out.Close()
-	h, err := gate.Start(gateConfig(set, out))
+	cfg := gateConfig(set, out)
+	cfg.DroppedLines = out.Dropped
+	h, err := gate.Start(cfg)
 	if err != nil {
 		return err
 	}
