Log lines tell why a run outlasts its job

What operators saw: a run of a cancelled job went on, and the log could not tell which of four causes it was: a stop that was never sent, one that was confirmed and not carried out or followed by a start, a worker that no owner heard of, or a cancelling that the next owner did not find. Cause: a stop had a line with its result only. Why it was requested, that a run was stopped before, that a run of an ended job was adopted, that a worker got no heartbeats and that it answered (again) was not written. Change: `stop requested` with a reason, `stop requested again`, `run goes on after a confirmed stop`, `adopted run of an ended job`, `worker answers`, `worker is not in the registry`, `no more heartbeats to worker` and, every 2 s, `no heartbeat to worker with runs`. `stop` has the reason and the number of the try; `cancelled job` has the offset of its append, to compare with that of `took over`. Each new kind, and failed tries of a stop after the first, is bounded to 50 lines a second with the number left out. No decision depends on the new fields of sched.Stop; stops in flight are compared without them. Starts and ends write what they wrote.

--- a/internal/cell/sched/explain.go
+++ b/internal/cell/sched/explain.go
@@ -140,6 +140,36 @@
 	return 0
 }
 
+// UnaddressedWorker is a worker that has runs and is sent no heartbeats, since no registry
+// entry with its address is known.
+type UnaddressedWorker struct {
+	Worker  string
+	Runs    int
+	WaitMs  int64 // since the oldest of its runs was placed or adopted
+	LeaseMs int64 // time until its lease has expired for certain
+}
+
+// UnaddressedWorkers returns the workers of that kind with a run older than minWaitMs, the
+// oldest first.
+func (p *Planner) UnaddressedWorkers(minWaitMs int64, now Instant) (list []UnaddressedWorker) {
+	for _, w := range p.workers {
+		if w.Addr != "" || len(w.allocations) == 0 {
+			continue
+		}
+		u := UnaddressedWorker{Worker: w.ID, Runs: len(w.allocations), LeaseMs: max(w.leaseExpiryMs-now.Ms, 0)}
+		for _, a := range w.allocations {
+			u.WaitMs = max(u.WaitMs, now.Ms-a.phaseStartMs)
+		}
+		if u.WaitMs > minWaitMs {
+			list = append(list, u)
+		}
+	}
+	slices.SortFunc(list, func(x, y UnaddressedWorker) int {
+		return cmp.Or(cmp.Compare(y.WaitMs, x.WaitMs), cmp.Compare(x.Worker, y.Worker))
+	})
+	return list
+}
+
 // SplitGang is a gang of which some members wait while others are placed. The waiting
 // ones cannot start before the runs of the others have ended.
 type SplitGang struct {
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -168,7 +168,7 @@
 		p.storedVerdicts[id] = j.Progress.Verdict
 		p.adopt(j, now)
 		if j.Progress.Verdict != Open {
-			p.stopJob(j)
+			p.stopJob(j, StopAdopted)
 			// EndMs is on the wall clock; convert it to the monotonic clock.
 			p.ended = append(p.ended, endedJob{id, now.Ms - max(now.WallMs-j.Progress.EndMs, 0)})
 			continue
@@ -349,7 +349,7 @@
 			delete(p.steps, key)
 		}
 	}
-	p.stopJob(j)
+	p.stopJob(j, endReason(j))
 }
 
 // Ending is a verdict and, if it is JobFailed, the end of a run that caused it.
@@ -379,12 +379,12 @@
 }
 
 // stopJob requests a stop of every run of a job.
-func (p *Planner) stopJob(j *Job) {
+func (p *Planner) stopJob(j *Job, reason StopReason) {
 	for occ := range j.occurrences() {
 		for step := range j.Spec.Steps {
 			for i, t := range j.stepTasks(occ, step) {
 				if t.State == Placed {
-					p.stopTask(j, Ref{j.Spec.ID, occ, step, i})
+					p.stopTask(j, Ref{j.Spec.ID, occ, step, i}, reason)
 				}
 			}
 		}
@@ -392,13 +392,13 @@
 }
 
 // stopTask requests a stop of the current run of a task.
-func (p *Planner) stopTask(j *Job, r Ref) {
+func (p *Planner) stopTask(j *Job, r Ref, reason StopReason) {
 	t := j.task(r)
 	if t == nil || t.Worker == "" {
 		return
 	}
 	if w := p.workers[t.Worker]; w != nil {
-		p.stop(w, r, t.LastRun)
+		p.stop(w, r, t.LastRun, reason)
 	}
 }
 
@@ -420,22 +420,54 @@
 // stop requests a stop of a run, again after stopAgainMs: the worker may have confirmed a
 // stop and not carried it out, or have restarted and got the start late. A start that ReleaseStarts has not returned yet needs
 // no stop, because ReleaseStarts withdraws it.
-func (p *Planner) stop(w *Worker, r Ref, run int) {
+func (p *Planner) stop(w *Worker, r Ref, run int, reason StopReason) {
+	s := Stop{Worker: w.ID, Ref: r, Run: run, Reason: reason}
 	a := w.allocations[r]
 	if a != nil && a.run == run {
 		if a.phase == phaseIntent || a.stopping && p.tickMs-a.stopMs < stopAgainMs {
 			return
 		}
+		s.Earlier, s.Confirmed = a.stops, a.phase == phaseStopConfirmed
 		a.stopping, a.stopMs = true, p.tickMs
+		a.stops++
 	}
-	p.stops = append(p.stops, Stop{Worker: w.ID, Ref: r, Run: run})
+	p.stops = append(p.stops, s)
 }
 
 // Stop is a request to a worker to stop a run.
 type Stop struct {
-	Worker string
-	Ref    Ref
-	Run    int
+	Worker    string
+	Ref       Ref
+	Run       int
+	Reason    StopReason
+	Earlier   int  // requests before this one for the run
+	Confirmed bool // the worker has confirmed an earlier one
+}
+
+// StopReason tells in log lines why a stop was requested.
+type StopReason string
+
+// Reasons of a stop.
+const (
+	StopCancelled    StopReason = "cancelled"    // the job was cancelled
+	StopJobEnded     StopReason = "jobEnded"     // the job has completed or failed
+	StopAdopted      StopReason = "adopted"      // the job had ended when this owner took over
+	StopLateRun      StopReason = "lateRun"      // the job has ended, and the run was not expected to exist any more
+	StopUnknownRun   StopReason = "unknownRun"   // the worker lists a run that was not placed there
+	StopOtherRun     StopReason = "otherRun"     // the worker lists another run of the task than the one placed there
+	StopStartUnknown StopReason = "startUnknown" // the start was not confirmed
+	StopGang         StopReason = "gang"         // another member of the gang was not started or has ended
+	StopDraining     StopReason = "draining"     // the worker leaves before the run would end
+	StopMissing      StopReason = "missing"      // the worker does not list the run any more
+	StopListed       StopReason = "listed"       // the worker lists the run in spite of an earlier stop
+)
+
+// endReason returns the reason for which the runs of an ended job are stopped.
+func endReason(j *Job) StopReason {
+	if j.Progress.Verdict == Cancelled {
+		return StopCancelled
+	}
+	return StopJobEnded
 }
 
 // TakeStops returns the stops requested since the last call.
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -43,13 +43,13 @@
 		a.phase, a.phaseStartMs, a.endMs = phaseRunning, now.Ms, now.Ms+a.runMs
 		j := p.state.Jobs[s.Ref.Job]
 		if j == nil || j.Progress.Verdict != Open {
-			p.stop(w, s.Ref, s.Run)
+			p.stop(w, s.Ref, s.Run, StopLateRun)
 			return
 		}
 		j.Progress.RunConfirmed = true
 		return
 	case StartUnknown, StartStaleRun: // the run that has ended there may be this one; the next report tells
-		p.stop(w, s.Ref, s.Run)
+		p.stop(w, s.Ref, s.Run, StopStartUnknown)
 		p.stopGang(s.Ref)
 		return
 	case StartNoTicket:
@@ -79,7 +79,7 @@
 	}
 	for i, t := range j.stepTasks(r.Occ, r.Step) {
 		if t.State == Placed {
-			p.stopTask(j, Ref{r.Job, r.Occ, r.Step, i})
+			p.stopTask(j, Ref{r.Job, r.Occ, r.Step, i}, StopGang)
 		}
 	}
 }
@@ -139,7 +139,7 @@
 		if j == nil || j.task(ref) == nil || a.endMs <= now.Ms+w.LeavesInMs || j.Spec.Steps[ref.Step].LongRunning {
 			continue
 		}
-		p.stop(w, ref, a.run)
+		p.stop(w, ref, a.run, StopDraining)
 		p.stopGang(ref)
 	}
 }
@@ -366,7 +366,7 @@
 			p.requeue(ref, a.run, now)
 			p.stopGang(ref)
 		case phaseRunning:
-			p.stop(w, ref, a.run)
+			p.stop(w, ref, a.run, StopMissing)
 		}
 	}
 }
@@ -376,7 +376,7 @@
 func (p *Planner) applyRunning(w *Worker, ref Ref, r Running, now Instant) {
 	a := w.allocations[ref]
 	if a == nil || a.run != r.Run {
-		p.stops = append(p.stops, Stop{Worker: w.ID, Ref: ref, Run: r.Run})
+		p.stopUnexpected(w, ref, r.Run, a)
 		return
 	}
 	if a.phase == phaseAdopted {
@@ -386,11 +386,15 @@
 	}
 	j := p.state.Jobs[ref.Job]
 	if j == nil || j.Progress.Verdict != Open {
-		p.stop(w, ref, r.Run)
+		reason := StopUnknownRun
+		if j != nil {
+			reason = endReason(j)
+		}
+		p.stop(w, ref, r.Run, reason)
 		return
 	}
 	if a.stopping {
-		p.stop(w, ref, r.Run)
+		p.stop(w, ref, r.Run, StopListed)
 	}
 	j.Progress.RunConfirmed = true
 	p.noteActive(w, j, a, now)
@@ -407,6 +411,20 @@
 	}
 }
 
+// stopUnexpected stops a listed run that is not the one that a, if not nil, was allocated
+// for.
+func (p *Planner) stopUnexpected(w *Worker, ref Ref, run int, a *allocation) {
+	j := p.state.Jobs[ref.Job]
+	reason := StopUnknownRun
+	switch {
+	case j != nil && j.Progress.Verdict != Open:
+		reason = StopLateRun
+	case a != nil:
+		reason = StopOtherRun
+	}
+	p.stops = append(p.stops, Stop{Worker: w.ID, Ref: ref, Run: run, Reason: reason})
+}
+
 // applyFinished handles the end of a run.
 func (p *Planner) applyFinished(w *Worker, f Finished, now Instant) {
 	ref, ok := ParseRef(f.Task)
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -54,10 +54,13 @@
 // Queries:
 //
 //	stops           requested stops
+//	reasons         the same, with reason, number of earlier requests and "!" if the
+//	    worker has confirmed one
 //	status JOB
 //	endings         verdicts reached since the last call, with their cause
 //	pending QUEUE
 //	acked WORKER    sequence number of the last stored end
+//	unaddressed MS  workers with runs older than MS and without an address
 //	explain MS      what has kept tasks from running for longer than MS: waiting steps,
 //	    unconfirmed runs, split gangs
 type script struct {
@@ -302,6 +305,23 @@
 		}
 		sort.Strings(out)
 		return strings.Join(out, " ")
+	case "reasons":
+		var out []string
+		for _, st := range s.p.TakeStops() {
+			line := fmt.Sprintf("%s/%d@%s:%s:%d", st.Ref, st.Run, st.Worker, st.Reason, st.Earlier)
+			if st.Confirmed {
+				line += "!"
+			}
+			out = append(out, line)
+		}
+		sort.Strings(out)
+		return strings.Join(out, " ")
+	case "unaddressed":
+		var out []string
+		for _, u := range s.p.UnaddressedWorkers(num(f[1]), s.now) {
+			out = append(out, fmt.Sprintf("%s runs=%d %dms lease=%d", u.Worker, u.Runs, u.WaitMs, u.LeaseMs))
+		}
+		return strings.Join(out, "; ")
 	case "status":
 		st, ok := s.p.Status(f[1])
 		if !ok {
--- a/internal/cell/sched/worker.go
+++ b/internal/cell/sched/worker.go
@@ -30,6 +30,7 @@
 	phaseStartMs int64 // start of the phase
 	stopping     bool  // a stop was requested
 	stopMs       int64 // time of the last Tick before that
+	stops        int   // number of requested stops
 	runMs        int64 // expected run time, in ms
 	endMs        int64 // expected end, monotonic
 	survived     bool  // the worker has listed it as active crashWindowMs after its start
--- a/internal/node/gate/api_test.go
+++ b/internal/node/gate/api_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -83,6 +84,7 @@
 	Msg, Host, Job, OwnerAddr, Err        string
 	OwnerHere                             bool
 	Status, Epoch, Tries, TookMs, Skipped int
+	Offset                                int64 // of an append
 }
 
 // TestAnswersAreLoggedByTheHost cancels jobs through the owner and through another host.
@@ -106,13 +108,19 @@
 	c.hosts[owner].mu.Unlock()
 
 	got := map[string]answerLine{}
+	var offsets []int64
 	for _, text := range strings.Split(strings.TrimSpace(out.String()), "\n") {
 		var l answerLine
 		assert.NilError(t, json.Unmarshal([]byte(text), &l), "%s", text)
 		if strings.HasSuffix(l.Msg, " answered") {
 			got[l.Msg+" "+l.Job] = l
 		}
+		if l.Msg == "cancelled job" {
+			offsets = append(offsets, l.Offset)
+		}
 	}
+	assert.Equal(t, len(offsets), 2)
+	assert.Assert(t, slices.Min(offsets) > 0 && offsets[0] != offsets[1], "%v", offsets)
 	assert.Equal(t, len(got), 4, "%v", got)
 	for key, want := range map[string]struct{ at, status int }{
 		"cancellation answered local": {owner, 200}, "cancellation answered remote": {other, 200},
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -85,6 +85,7 @@
 	maxQueuedSubmissions = 4_000                   // further submissions are rejected
 	maxWithdrawalLines   = 50                      // log lines a second
 	maxOddEntryLines     = 5                       // log lines a second about invalid registry entries
+	maxStopLines         = 50                      // log lines a second of each kind about stops and lingering runs
 	maxErrTextBytes      = 300                     // of an error that quotes an entry, in a log line
 	stalledAfter         = 3 * time.Second         // without a finished plan, an owner counts as stalled; a plan takes milliseconds
 )
@@ -101,6 +102,7 @@
 	planWake  chan struct{} // wakes the plan loop
 	writeWake chan struct{} // wakes the write loop
 	nextSeq   int64         // sequence number of the next append; used by the write loop only
+	offset    int64         // of the last confirmed append; used by the write loop only
 	storeSlow bool          // the last append was slow; used by the write loop only
 	latency   time.Duration // of the last confirmed append; used by the write loop only
 
@@ -116,7 +118,7 @@
 	confirmPending   bool // the write loop will be woken for them
 	workerClocks     map[string]workerClock
 	heartbeatLoops   map[string]context.CancelFunc // by worker; present while its heartbeat loop runs
-	stopsInFlight    map[sched.Stop]bool
+	stopsInFlight    map[stopKey]bool
 	plannedStarts    []sched.Start // planned, intents not stored yet
 	stored           chan struct{} // closed and replaced after a cycle that stored records
 	unconfirmedSince time.Time     // when the unconfirmed append was first sent; zero if there is none
@@ -126,6 +128,11 @@
 
 	withdrawals logs.Limiter // of the log lines about submissions that were taken back
 	oddEntries  logs.Limiter // of the log lines about invalid registry entries
+	stopLines   logs.Limiter // of the log lines about first requests of stops
+	adoptLines  logs.Limiter // of the log lines about adopted runs of ended jobs
+	againLines  logs.Limiter // of the log lines about runs that are stopped again or were not expected
+	retryLines  logs.Limiter // of the log lines about stops that were sent again without success
+	answerLines logs.Limiter // of the log lines about workers that answer
 }
 
 // workerClock is a reading of a worker's clock.
@@ -153,8 +160,9 @@
 	o := &Owner{
 		cfg: cfg, ctx: ctx, cancel: cancel, done: make(chan struct{}), planWake: make(chan struct{}, 1), writeWake: make(chan struct{}, 1),
 		log:          cfg.Logger.WithName("lead").WithValues("epoch", cfg.Claim.Epoch),
-		workerClocks: map[string]workerClock{}, heartbeatLoops: map[string]context.CancelFunc{}, stopsInFlight: map[sched.Stop]bool{},
+		workerClocks: map[string]workerClock{}, heartbeatLoops: map[string]context.CancelFunc{}, stopsInFlight: map[stopKey]bool{},
 		withdrawals: logs.Limiter{Lines: maxWithdrawalLines, Interval: time.Second}, oddEntries: logs.Limiter{Lines: maxOddEntryLines, Interval: time.Second},
+		stopLines: stopLimiter(), adoptLines: stopLimiter(), againLines: stopLimiter(), retryLines: stopLimiter(), answerLines: stopLimiter(),
 		stored: make(chan struct{}), lastConfirmed: cfg.Clock.Now(), validFrom: cfg.Clock.Elapsed(), nextSeq: 1,
 	}
 	o.plannedAt.Store(int64(cfg.Clock.Elapsed()))
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -204,6 +204,7 @@
 		o.log.Info("run not confirmed", "task", r.Task, "run", r.Run, "worker", r.Worker, "phase", r.Phase, "waitMs", r.WaitMs, "stopping", r.Stopping,
 			"reachable", r.Reachable, "leaseMs", r.LeaseMs, "jobEnded", r.JobEnded)
 	}
+	o.logUnaddressed(now)
 	for _, g := range o.planner.SplitGangs(waitingAfterMs, maxWaitingLines, now) {
 		o.log.Info("gang split", "step", g.Step, "waitMs", g.WaitMs, "idle", g.Waiting, "placed", g.Placed, "running", g.Running)
 	}
@@ -289,7 +290,7 @@
 			c.done <- errUnconfirmed()
 			continue
 		}
-		o.log.Info("cancelled job", "job", c.id)
+		o.log.Info("cancelled job", "job", c.id, "offset", o.offset)
 		c.done <- nil
 	}
 	for _, s := range w.releasedStarts {
@@ -347,7 +348,7 @@
 	for tries := 0; ; tries++ {
 		sent, sentAt := o.cfg.Clock.Now(), o.cfg.Clock.Elapsed()
 		ctx, cancel := context.WithTimeout(o.ctx, o.appendTimeout())
-		_, err := o.cfg.Store.Append(ctx, req)
+		offset, err := o.cfg.Store.Append(ctx, req)
 		cancel()
 		if err == nil {
 			o.recordLatency(o.cfg.Clock.Now().Sub(sent), tries)
@@ -356,6 +357,7 @@
 			o.lastConfirmed, o.validFrom = sent, sentAt
 			o.mu.Unlock()
 			o.nextSeq++
+			o.offset = offset
 			return appendStored
 		}
 		if o.ctx.Err() != nil {
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -145,8 +145,9 @@
 // o.mu.
 func (o *Owner) dispatchStops() {
 	for _, s := range o.planner.TakeStops() {
-		if !o.stopsInFlight[s] {
-			o.stopsInFlight[s] = true
+		if !o.stopsInFlight[keyOf(s)] {
+			o.stopsInFlight[keyOf(s)] = true
+			o.logStopRequest(s)
 			go o.guarded("stop", func() { o.sendStop(s) })
 		}
 	}
@@ -157,10 +158,10 @@
 func (o *Owner) sendStop(s sched.Stop) {
 	defer func() {
 		o.mu.Lock()
-		delete(o.stopsInFlight, s)
+		delete(o.stopsInFlight, keyOf(s))
 		o.mu.Unlock()
 	}()
-	for o.awaitPermission() {
+	for try := 1; o.awaitPermission(); try++ {
 		info, ok := o.worker(s.Worker)
 		if !ok {
 			o.log.Info("stop not sent, the address of the worker is not known", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker)
@@ -172,7 +173,7 @@
 			Peer: ports.Peer{ID: info.ID, Addr: info.Addr}, Token: o.cfg.Claim.Epoch, Task: s.Ref.String(), Run: s.Run,
 		})
 		cancel()
-		o.log.Info("stop", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker, "err", errText(err))
+		o.logStop(s, try, err)
 		if o.handleStopResult(s, err) {
 			return
 		}
@@ -215,6 +216,7 @@
 	for ctx.Err() == nil {
 		info, ok := o.worker(id)
 		if !ok {
+			o.log.Info("no more heartbeats to worker, it has neither a registry entry nor runs", "worker", id)
 			return
 		}
 		unstoredEnds, err := o.heartbeat(ctx, info)
@@ -318,6 +320,9 @@
 // applyHeartbeat applies the answer to a heartbeat that was sent at sent. It reports
 // whether some of the ended runs are not stored yet. The caller holds o.mu.
 func (o *Owner) applyHeartbeat(id string, h ports.HeartbeatResponse, sent sched.Instant, readAt time.Time) (unstoredEnds bool) {
+	if _, known := o.workerClocks[id]; !known {
+		o.logAnswers(id, h)
+	}
 	o.workerClocks[id] = workerClock{ms: h.ClockMs, readAt: readAt, incarnation: h.Incarnation}
 	lastApplied := o.planner.AppliedSeq(id)
 	o.planner.ApplyReport(id, sched.WorkerReport{SentMs: sent.Ms, Incarnation: h.Incarnation, Running: h.Running, Finished: h.Finished}, o.now())
@@ -400,6 +405,7 @@
 		}
 		for _, info := range o.planner.WorkersToRenew() {
 			if !present[info.ID] {
+				o.log.Info("worker is not in the registry", "worker", info.ID)
 				o.planner.DropWorker(info.ID)
 			}
 		}
