Metrics of stops and of runs that outlast their job

What operators saw: nothing but the callers told that a run went on for as long as its own work took after its job was cancelled. Cause: no metric compares what the workers list with the jobs' ends, and stops were not counted. Change: lagooncourse_lingering_runs, the runs that workers list now although their job has ended or is not known, counted while a report is compared with the allocations and 0 on a host that is not the owner; lagooncourse_cancel_seconds, from the acknowledgement of a cancelling, or its verdict after a takeover, until the last run of the job is gone, with the line `last run of cancelled job is gone` (50 a second at most); lagooncourse_stops_total by kind: first, again, notSent. Nothing walks over all jobs: a cancelling counts the allocations of its job once, and a release looks into the map of followed jobs only while it has any. Result: TestLogTellsWhyARunGoesOn checks the counters and the histogram for three causes, TestLingeringRunsAreCounted the gauge, script lingering the planner's part.

--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -131,8 +131,11 @@
 	storedVerdicts map[string]Verdict        // verdicts that are stored, by job
 	storedJobs     map[string]bool           // jobs whose acceptance is stored
 	stops          []Stop
-	lastSerial     int64 // of an allocation for a start
-	tickMs         int64 // time of the last call of Tick
+	cancels        map[string]*followedCancel // acknowledged cancellations of jobs that have runs left, by job
+	gone           []endedJob                 // cancelled jobs whose last run is gone, with the time of the acknowledgement; since the last TakeGone
+	lingering      int                        // listed runs whose job has ended, of all workers
+	lastSerial     int64                      // of an allocation for a start
+	tickMs         int64                      // time of the last call of Tick
 	trust          *trust.Tracker
 	allowedShares  map[string]*allowedShare // share of the workers that advice allows, by queue
 	estimator      estimator
@@ -162,6 +165,7 @@
 		steps: map[stepKey]*stepInstance{}, waiting: map[stepKey]*stepInstance{}, dirty: map[string]bool{},
 		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{MaxQuarantineMs: maxQuarantineMs}), allowedShares: map[string]*allowedShare{},
 		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]workerLoss{}, setAside: map[string]bool{},
+		cancels: map[string]*followedCancel{},
 	}
 	for id, j := range cfg.State.Jobs {
 		p.storedJobs[id] = true
@@ -170,7 +174,11 @@
 		if j.Progress.Verdict != Open {
 			p.stopJob(j, StopAdopted)
 			// EndMs is on the wall clock; convert it to the monotonic clock.
-			p.ended = append(p.ended, endedJob{id, now.Ms - max(now.WallMs-j.Progress.EndMs, 0)})
+			endMs := now.Ms - max(now.WallMs-j.Progress.EndMs, 0)
+			p.ended = append(p.ended, endedJob{id, endMs})
+			if j.Progress.Verdict == Cancelled {
+				p.followCancel(j, endMs)
+			}
 			continue
 		}
 		for _, t := range j.Progress.Tasks {
@@ -234,6 +242,7 @@
 func (p *Planner) release(w *Worker, r Ref) {
 	if a := w.release(r); a != nil {
 		p.used[a.team] = p.used[a.team].Minus(a.size)
+		p.noteGone(r.Job)
 	}
 }
 
@@ -418,8 +427,8 @@
 }
 
 // stop requests a stop of a run, again after stopAgainMs: the worker may have confirmed a
-// stop and not carried it out, or have restarted and got the start late. A start that ReleaseStarts has not returned yet needs
-// no stop, because ReleaseStarts withdraws it.
+// stop and not carried it out, or have restarted and got the start late. A start that
+// ReleaseStarts has not returned yet needs no stop, because ReleaseStarts withdraws it.
 func (p *Planner) stop(w *Worker, r Ref, run int, reason StopReason) {
 	s := Stop{Worker: w.ID, Ref: r, Run: run, Reason: reason}
 	a := w.allocations[r]
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -196,6 +196,7 @@
 	}
 	reportedMs := w.reportedMs
 	w.reportedMs = 0
+	p.setLingering(w, 0)
 	p.loseRuns(w, now, func(a *allocation) bool {
 		switch a.phase {
 		case phaseRunning, phaseStopConfirmed:
@@ -269,6 +270,7 @@
 		if w.reachable || now.Ms < w.leaseExpiryMs {
 			continue
 		}
+		p.setLingering(w, 0)
 		// ReleaseStarts withdraws starts that were not sent.
 		if p.loseRuns(w, now, func(a *allocation) bool { return a.phase != phaseIntent }) {
 			p.recordLoss(w, now)
@@ -345,14 +347,18 @@
 // they are requeued when a report requested after the confirmed stop omits them too.
 func (p *Planner) checkRunning(w *Worker, report WorkerReport, now Instant) {
 	listed := make(map[Ref]bool, len(report.Running))
+	lingering := 0
 	for _, r := range report.Running {
 		ref, ok := ParseRef(r.Task)
 		if !ok {
 			continue
 		}
 		listed[ref] = true
-		p.applyRunning(w, ref, r, now)
+		if !p.applyRunning(w, ref, r, now) {
+			lingering++
+		}
 	}
+	p.setLingering(w, lingering)
 	if len(report.Finished) >= maxFinished {
 		return // the missing runs may have ends that do not fit into this reply
 	}
@@ -372,12 +378,11 @@
 }
 
 // applyRunning handles one entry of the list of active runs. It stops runs that
-// have no allocation or whose job has ended.
-func (p *Planner) applyRunning(w *Worker, ref Ref, r Running, now Instant) {
+// have no allocation or whose job has ended. It reports whether the job is open.
+func (p *Planner) applyRunning(w *Worker, ref Ref, r Running, now Instant) (open bool) {
 	a := w.allocations[ref]
 	if a == nil || a.run != r.Run {
-		p.stopUnexpected(w, ref, r.Run, a)
-		return
+		return p.stopUnexpected(w, ref, r.Run, a)
 	}
 	if a.phase == phaseAdopted {
 		// phaseStartMs stays the time of the takeover, so recordRun will count the
@@ -391,7 +396,7 @@
 			reason = endReason(j)
 		}
 		p.stop(w, ref, r.Run, reason)
-		return
+		return false
 	}
 	if a.stopping {
 		p.stop(w, ref, r.Run, StopListed)
@@ -400,7 +405,7 @@
 	p.noteActive(w, j, a, now)
 	t := j.task(ref)
 	if t == nil || t.LastRun != r.Run {
-		return
+		return true
 	}
 	if r.Checkpoint != "" {
 		p.saveCheckpoint(j, ref, r.Checkpoint) // stored with the next progress record
@@ -409,20 +414,23 @@
 		t.Incarnation = w.Incarnation
 		p.dirty[ref.Job] = true
 	}
+	return true
 }
 
 // stopUnexpected stops a listed run that is not the one that a, if not nil, was allocated
-// for.
-func (p *Planner) stopUnexpected(w *Worker, ref Ref, run int, a *allocation) {
+// for. It reports whether the job is open.
+func (p *Planner) stopUnexpected(w *Worker, ref Ref, run int, a *allocation) (open bool) {
 	j := p.state.Jobs[ref.Job]
+	open = j != nil && j.Progress.Verdict == Open
 	reason := StopUnknownRun
 	switch {
-	case j != nil && j.Progress.Verdict != Open:
+	case j != nil && !open:
 		reason = StopLateRun
 	case a != nil:
 		reason = StopOtherRun
 	}
 	p.stops = append(p.stops, Stop{Worker: w.ID, Ref: ref, Run: run, Reason: reason})
+	return open
 }
 
 // applyFinished handles the end of a run.
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -60,6 +60,9 @@
 //	endings         verdicts reached since the last call, with their cause
 //	pending QUEUE
 //	acked WORKER    sequence number of the last stored end
+//	cancel-acked JOB
+//	gone            cancelled jobs whose last run is gone, with the time since cancel-acked
+//	lingering       number of listed runs whose job has ended
 //	unaddressed MS  workers with runs older than MS and without an address
 //	explain MS      what has kept tasks from running for longer than MS: waiting steps,
 //	    unconfirmed runs, split gangs
@@ -316,6 +319,16 @@
 		}
 		sort.Strings(out)
 		return strings.Join(out, " ")
+	case "cancel-acked":
+		s.p.CancelAcked(f[1], s.now)
+	case "gone":
+		var out []string
+		for _, g := range s.p.TakeGone(s.now) {
+			out = append(out, fmt.Sprintf("%s:%dms", g.Job, g.AfterMs))
+		}
+		return strings.Join(out, " ")
+	case "lingering":
+		return fmt.Sprint(s.p.LingeringRuns())
 	case "unaddressed":
 		var out []string
 		for _, u := range s.p.UnaddressedWorkers(num(f[1]), s.now) {
--- a/internal/cell/sched/worker.go
+++ b/internal/cell/sched/worker.go
@@ -50,6 +50,7 @@
 	leaseExpiryMs    int64       // latest time at which its lease expires, unless it is renewed
 	appliedSeq       int64       // sequence number of the last end that was applied
 	storedSeq        int64       // sequence number of the last end that is stored
+	lingering        int         // runs in its last report whose job has ended
 	backoffUntilMs   int64       // no starts before this time
 	vacated          bool        // it drains, and the runs that would not end in time were stopped
 	reservation      reservation // reservation for a waiting gang
--- a/internal/node/lead/linger.go
+++ b/internal/node/lead/linger.go
@@ -1,6 +1,6 @@
 package lead
 
-// Log lines about stops and about runs that outlast their job.
+// Log lines and metrics about stops and about runs that outlast their job.
 
 import (
 	"time"
@@ -53,6 +53,15 @@
 	o.log.Info("stop", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker, "reason", string(s.Reason), "try", try, "err", errText(err), "skipped", skipped)
 }
 
+// countStop counts a try of a stop.
+func (o *Owner) countStop(s sched.Stop, try int) {
+	kind := stopFirst
+	if try > 1 || s.Earlier > 0 {
+		kind = stopAgain
+	}
+	o.cfg.Metrics.countStop(kind)
+}
+
 // logAnswers logs that a worker has answered for the first time, or again after a failure.
 func (o *Owner) logAnswers(id string, h ports.HeartbeatResponse) {
 	if skipped, ok := o.answerLines.Allow(o.cfg.Clock.Now()); ok {
@@ -60,6 +69,21 @@
 	}
 }
 
+// noteLingering records how many listed runs outlast their job, and the cancelled jobs
+// whose last run is gone. The caller holds o.mu.
+func (o *Owner) noteLingering() {
+	if o.ctx.Err() != nil {
+		return // the next owner counts them
+	}
+	o.cfg.Metrics.setLingering(o.planner.LingeringRuns())
+	for _, g := range o.planner.TakeGone(o.now()) {
+		o.cfg.Metrics.observeGone(g.AfterMs)
+		if skipped, ok := o.goneLines.Allow(o.cfg.Clock.Now()); ok {
+			o.log.Info("last run of cancelled job is gone", "job", g.Job, "afterMs", g.AfterMs, "skipped", skipped)
+		}
+	}
+}
+
 // logUnaddressed logs the workers that have runs and are sent no heartbeats.
 func (o *Owner) logUnaddressed(now sched.Instant) {
 	list := o.planner.UnaddressedWorkers(unaddressedAfterMs, now)
--- a/internal/node/lead/linger_test.go
+++ b/internal/node/lead/linger_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"gotest.tools/v3/assert"
 
 	"lagooncourse/internal/base/clock"
@@ -53,17 +54,45 @@
 	return list
 }
 
-// explained is an owner with its log.
+// metricValue returns the value of a counter or gauge, or the count of a histogram, whose
+// label, if any, has the value label.
+func metricValue(t *testing.T, reg *prometheus.Registry, name, label string) float64 {
+	t.Helper()
+	families, err := reg.Gather()
+	assert.NilError(t, err)
+	for _, f := range families {
+		if f.GetName() != name {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			if label != "" && m.GetLabel()[0].GetValue() != label {
+				continue
+			}
+			switch {
+			case m.GetHistogram() != nil:
+				return float64(m.GetHistogram().GetSampleCount())
+			case m.GetGauge() != nil:
+				return m.GetGauge().GetValue()
+			}
+			return m.GetCounter().GetValue()
+		}
+	}
+	t.Fatalf("no metric %s %s", name, label)
+	return 0
+}
+
+// explained is an owner with its log and metrics.
 type explained struct {
 	*Owner
 	log logBuffer
+	reg *prometheus.Registry
 }
 
 // startExplained starts an owner that has read state.
 func startExplained(t *testing.T, state *sched.State, store ports.Store, r testWorkers) *explained {
-	e := &explained{}
+	e := &explained{reg: prometheus.NewRegistry()}
 	cfg := ownerConfig(state, store, r, clock.System{})
-	cfg.Logger = logs.NewJSON(&e.log, "info")
+	cfg.Logger, cfg.Metrics = logs.NewJSON(&e.log, "info"), NewMetrics(e.reg)
 	e.Owner = Start(cfg)
 	t.Cleanup(func() {
 		e.Stop("the test has ended")
@@ -82,23 +111,27 @@
 const endedJob = "00000000000000aa"
 
 // TestLogTellsWhyARunGoesOn plays causes for which a run goes on after its job was
-// cancelled. The lines of the owner must tell them apart.
+// cancelled. The lines and metrics of the owner must tell them apart.
 func TestLogTellsWhyARunGoesOn(t *testing.T) {
 	for name, c := range map[string]struct {
-		delay         time.Duration // of the registry
-		deaf          bool
-		want, wantNot string // messages
-		notSent       bool
+		delay          time.Duration // of the registry
+		deaf           bool
+		want, wantNot  string // messages
+		again, notSent bool   // counted
 	}{
 		"stopped at once":            {want: "adopted run of an ended job", wantNot: "stop requested again"},
-		"address not known in time":  {delay: 300 * time.Millisecond, want: "stop requested again", wantNot: "run goes on after a confirmed stop", notSent: true},
-		"stop confirmed, not obeyed": {deaf: true, want: "run goes on after a confirmed stop", wantNot: "stop requested again"},
+		"address not known in time":  {delay: 300 * time.Millisecond, want: "stop requested again", wantNot: "run goes on after a confirmed stop", again: true, notSent: true},
+		"stop confirmed, not obeyed": {deaf: true, want: "run goes on after a confirmed stop", wantNot: "stop requested again", again: true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := &stoppable{deaf: c.deaf, stopped: make(chan struct{})}
 			r.running = []sched.Running{{Task: endedJob + ".0.0.0", Run: 3}}
 			e := startExplained(t, cancelledState(t, endedJob), &lateRegistry{delay: c.delay}, r)
 			<-r.stopped
+			gone := e.awaitLine(t, "last run of cancelled job is gone")
+			assert.Equal(t, gone.Job, endedJob)
+			assert.Assert(t, gone.AfterMs < cancelBoundMs, "%d ms", gone.AfterMs)
+
 			for _, msg := range []string{"adopted run of an ended job", c.want} {
 				l := e.awaitLine(t, msg)
 				assert.Equal(t, l.Task, endedJob+".0.0.0", msg)
@@ -112,22 +145,38 @@
 			assert.Assert(t, len(sent) > 0)
 			assert.Assert(t, sent[0].Try == 1 && sent[0].Err == "" && sent[0].Reason != "", "%+v", sent[0])
 			assert.Equal(t, e.awaitLine(t, "worker answers").Worker, "w1")
+
+			assert.Equal(t, metricValue(t, e.reg, "lagooncourse_stops_total", stopAgain) > 0, c.again)
+			assert.Equal(t, metricValue(t, e.reg, "lagooncourse_stops_total", stopNotSent) > 0, c.notSent)
+			assert.Equal(t, metricValue(t, e.reg, "lagooncourse_cancel_seconds", ""), 1.0)
+			polls.Until(t, pollTimeout, "no run lingers", func() bool { return metricValue(t, e.reg, "lagooncourse_lingering_runs", "") == 0 })
 		})
 	}
 }
 
+// TestLingeringRunsAreCounted checks that a run that ignores all stops is in the gauge
+// while its worker lists it, and that a host which is not the owner any more counts none.
+func TestLingeringRunsAreCounted(t *testing.T) {
+	r := &recorder{}
+	r.running = []sched.Running{{Task: endedJob + ".0.0.0", Run: 3}, {Task: "00000000000000bb.0.0.0", Run: 1}}
+	e := startExplained(t, cancelledState(t, endedJob), &lateRegistry{}, r)
+	lingering := func() float64 { return metricValue(t, e.reg, "lagooncourse_lingering_runs", "") }
+	polls.Until(t, pollTimeout, "both runs are counted", func() bool { return lingering() == 2 })
+	polls.Until(t, pollTimeout, "the unknown run", func() bool {
+		return slices.ContainsFunc(e.log.lines(t, "stop requested"), func(l logLine) bool { return l.Reason == string(sched.StopUnknownRun) })
+	})
+	e.Stop("test")
+	<-e.Done()
+	assert.Equal(t, lingering(), 0.0)
+}
+
 // TestLateRunOfEndedJobIsLogged lists a run of a cancelled job again after it was gone, as
 // by a start that is carried out late.
 func TestLateRunOfEndedJobIsLogged(t *testing.T) {
 	r := &stoppable{stopped: make(chan struct{})}
 	r.running = []sched.Running{{Task: endedJob + ".0.0.0", Run: 3}}
 	e := startExplained(t, cancelledState(t, endedJob), &lateRegistry{}, r)
-	<-r.stopped
-	polls.Until(t, pollTimeout, "the run is gone", func() bool {
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		return len(e.planner.UnconfirmedRuns(-1, 1, e.now())) == 0
-	})
+	e.awaitLine(t, "last run of cancelled job is gone")
 	r.mu.Lock()
 	r.running = []sched.Running{{Task: endedJob + ".0.0.0", Run: 3}}
 	r.mu.Unlock()
--- a/internal/node/lead/metrics.go
+++ b/internal/node/lead/metrics.go
@@ -15,12 +15,26 @@
 	starts         *prometheus.HistogramVec
 	heartbeats     *prometheus.CounterVec
 	adviceRequests *prometheus.CounterVec
+	stops          *prometheus.CounterVec
+	lingering      prometheus.Gauge
+	cancels        prometheus.Histogram
 }
 
 // latencyBuckets are the bucket limits in seconds, from one round trip to the
 // duration of a store outage.
 var latencyBuckets = []float64{.002, .005, .01, .02, .05, .1, .25, .5, 1, 2.5, 5, 10}
 
+// goneBuckets are the bucket limits in seconds, from the time that a worker takes to stop
+// a run to a long lease.
+var goneBuckets = []float64{.05, .1, .25, .5, 1, 1.5, 2, 3, 4, 6, 10, 20, 40}
+
+// Values of the label of the stops.
+const (
+	stopFirst   = "first"
+	stopAgain   = "again"
+	stopNotSent = "notSent"
+)
+
 // NewMetrics registers the metrics of an owner.
 func NewMetrics(reg prometheus.Registerer) *Metrics {
 	m := &Metrics{
@@ -37,7 +51,19 @@
 			Name: "lagooncourse_advice_total", Help: "Questions to the advice service.",
 		}, []string{"outcome"}),
 	}
-	reg.MustRegister(m.appends, m.starts, m.heartbeats, m.adviceRequests)
+	m.stops = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "lagooncourse_stops_total", Help: "Stops of runs: sent for the first time, sent again, or given up without being sent.",
+	}, []string{"kind"})
+	m.lingering = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "lagooncourse_lingering_runs", Help: "Runs that the workers list now although their job has ended.",
+	})
+	m.cancels = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "lagooncourse_cancel_seconds", Help: "Time from the acknowledgement of a cancellation until the last run of the job was gone.", Buckets: goneBuckets,
+	})
+	reg.MustRegister(m.appends, m.starts, m.heartbeats, m.adviceRequests, m.stops, m.lingering, m.cancels)
+	for _, kind := range []string{stopFirst, stopAgain, stopNotSent} {
+		m.stops.WithLabelValues(kind)
+	}
 	return m
 }
 
@@ -81,6 +107,27 @@
 	m.adviceRequests.WithLabelValues(label).Inc()
 }
 
+// countStop counts a stop of one of the kinds above.
+func (m *Metrics) countStop(kind string) {
+	if m != nil {
+		m.stops.WithLabelValues(kind).Inc()
+	}
+}
+
+// setLingering sets the number of runs that outlast their job.
+func (m *Metrics) setLingering(n int) {
+	if m != nil {
+		m.lingering.Set(float64(n))
+	}
+}
+
+// observeGone records how long the runs of a cancelled job have outlasted it.
+func (m *Metrics) observeGone(ms int64) {
+	if m != nil {
+		m.cancels.Observe(float64(ms) / 1000)
+	}
+}
+
 // outcomeLabel returns the outcome of a request to a worker: "refused" if it had no
 // effect, "unknown" if it may have had one.
 func outcomeLabel(err error) string {
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -132,6 +132,7 @@
 	adoptLines  logs.Limiter // of the log lines about adopted runs of ended jobs
 	againLines  logs.Limiter // of the log lines about runs that are stopped again or were not expected
 	retryLines  logs.Limiter // of the log lines about stops that were sent again without success
+	goneLines   logs.Limiter // of the log lines about cancelled jobs without runs
 	answerLines logs.Limiter // of the log lines about workers that answer
 }
 
@@ -162,7 +163,7 @@
 		log:          cfg.Logger.WithName("lead").WithValues("epoch", cfg.Claim.Epoch),
 		workerClocks: map[string]workerClock{}, heartbeatLoops: map[string]context.CancelFunc{}, stopsInFlight: map[stopKey]bool{},
 		withdrawals: logs.Limiter{Lines: maxWithdrawalLines, Interval: time.Second}, oddEntries: logs.Limiter{Lines: maxOddEntryLines, Interval: time.Second},
-		stopLines: stopLimiter(), adoptLines: stopLimiter(), againLines: stopLimiter(), retryLines: stopLimiter(), answerLines: stopLimiter(),
+		stopLines: stopLimiter(), adoptLines: stopLimiter(), againLines: stopLimiter(), retryLines: stopLimiter(), goneLines: stopLimiter(), answerLines: stopLimiter(),
 		stored: make(chan struct{}), lastConfirmed: cfg.Clock.Now(), validFrom: cfg.Clock.Elapsed(), nextSeq: 1,
 	}
 	o.plannedAt.Store(int64(cfg.Clock.Elapsed()))
@@ -181,6 +182,9 @@
 	}
 	go func() {
 		o.loops.Wait()
+		o.mu.Lock()
+		cfg.Metrics.setLingering(0)
+		o.mu.Unlock()
 		close(o.done)
 	}()
 	return o
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -55,6 +55,7 @@
 	}
 	o.logWaiting(now)
 	o.logEndings()
+	o.noteLingering()
 	for _, id := range o.planner.TakeFullJobs() {
 		o.log.Info("checkpoints of job are too long, keeping earlier ones", "job", id)
 	}
@@ -261,6 +262,8 @@
 	for _, c := range w.cancellations {
 		if o.planner.IsSetAside(c.id) {
 			w.refused[c.id] = true
+		} else {
+			o.planner.CancelAcked(c.id, o.now())
 		}
 	}
 	o.confirmed()
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -164,6 +164,7 @@
 	for try := 1; o.awaitPermission(); try++ {
 		info, ok := o.worker(s.Worker)
 		if !ok {
+			o.cfg.Metrics.countStop(stopNotSent)
 			o.log.Info("stop not sent, the address of the worker is not known", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker)
 			o.locked(func() { o.planner.StopNotSent(s) })
 			return
@@ -173,6 +174,7 @@
 			Peer: ports.Peer{ID: info.ID, Addr: info.Addr}, Token: o.cfg.Claim.Epoch, Task: s.Ref.String(), Run: s.Run,
 		})
 		cancel()
+		o.countStop(s, try)
 		o.logStop(s, try, err)
 		if o.handleStopResult(s, err) {
 			return
@@ -327,6 +329,7 @@
 	lastApplied := o.planner.AppliedSeq(id)
 	o.planner.ApplyReport(id, sched.WorkerReport{SentMs: sent.Ms, Incarnation: h.Incarnation, Running: h.Running, Finished: h.Finished}, o.now())
 	o.logEnds(id, lastApplied, h.Finished)
+	o.noteLingering()
 	o.dispatchStops()
 	return o.planner.AppliedSeq(id) > o.planner.StoredSeq(id)
 }
