A stop of a gang whose job has ended tells that, not the gang

Cause: the end of one member stops the others, and that reason replaced the job's. Change: the job's end goes first.

--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -77,9 +77,13 @@
 	if j == nil || j.task(r) == nil || !j.Spec.Steps[r.Step].Gang {
 		return
 	}
+	reason := StopGang
+	if j.Progress.Verdict != Open {
+		reason = endReason(j)
+	}
 	for i, t := range j.stepTasks(r.Occ, r.Step) {
 		if t.State == Placed {
-			p.stopTask(j, Ref{r.Job, r.Occ, r.Step, i}, StopGang)
+			p.stopTask(j, Ref{r.Job, r.Occ, r.Step, i}, reason)
 		}
 	}
 }
