--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -329,8 +329,8 @@
 	lastApplied := o.planner.AppliedSeq(id)
 	o.planner.ApplyReport(id, sched.WorkerReport{SentMs: sent.Ms, Incarnation: h.Incarnation, Running: h.Running, Finished: h.Finished}, o.now())
 	o.logEnds(id, lastApplied, h.Finished)
-	o.noteLingering()
 	o.dispatchStops()
+	o.noteLingering()
 	return o.planner.AppliedSeq(id) > o.planner.StoredSeq(id)
 }
 
