--- a/internal/cell/alloc/alloc_test.go
+++ b/internal/cell/alloc/alloc_test.go
@@ -364,3 +364,16 @@
 	assert.Assert(t, ok)
 	assert.Equal(t, slot.Worker, "w1")
 }
+
+// TestVictimsAreSelectedAgain selects victims whose stop requests are lost. They must be
+// selected again once the hold for the urgent attempt has ended, and not before.
+func TestVictimsAreSelectedAgain(t *testing.T) {
+	al := New()
+	al.SetWorkers([]Worker{{ID: "w1", Capacity: jobs.Size{CPU: 2}}})
+	victim := Attempt{Task: "b-0.1/0", Number: 1}
+	al.ApplyInventory("w1", Inventory{Boot: 7, Attempts: []ReportedAttempt{{Attempt: victim, Home: "b-0", Kind: jobs.Batch, Size: jobs.Size{CPU: 2}}}})
+	req := ReserveRequest{Attempt: Attempt{Task: "b-0.2/0", Number: 1}, Home: "b-0", Kind: jobs.Urgent, Size: jobs.Size{CPU: 1}}
+	assert.DeepEqual(t, al.SelectVictims(req, 0, 1000), []Attempt{victim})
+	assert.Equal(t, len(al.SelectVictims(req, 999, 1999)), 0)
+	assert.DeepEqual(t, al.SelectVictims(req, 1000, 2000), []Attempt{victim})
+}
