Stop attempts that run and that their home group does not have as placed tasks

Seen: by tests only. An attempt that runs on a worker after its home group has recorded its end, or of a job that has ended or is unknown, went on to its own end, a service for ever.

Cause: a home group stops the attempts of its placed tasks, so nobody at home looks at any other. The worker's group takes each attempt of an inventory for allocated, renews its lease and stops it only when it is told to.

Change: each second a worker's group asks the home groups which of the attempts that run on its workers are unwanted, and stops these. A home group answers only as the owner that the log confirms: an intent is recorded before its start, so that owner knows each attempt that may run.

Tests of owner (once with -race) and entry pass.

--- a/internal/cell/alloc/inventory.go
+++ b/internal/cell/alloc/inventory.go
@@ -246,6 +246,20 @@
 	return list
 }
 
+// RunningByHome returns the attempts that are confirmed to run on the group's workers,
+// by home group.
+func (al *Allocations) RunningByHome() map[string][]Attempt {
+	byHome := map[string][]Attempt{}
+	for _, id := range al.workerIDs {
+		for attempt, a := range al.workers[id].allocations {
+			if a.phase == running {
+				byHome[a.home] = append(byHome[a.home], attempt)
+			}
+		}
+	}
+	return byHome
+}
+
 // WorkerOf returns the worker to which the attempt is allocated.
 func (al *Allocations) WorkerOf(attempt Attempt) (string, bool) {
 	id, ok := al.workerOf[attempt]
--- a/internal/node/entry/remote.go
+++ b/internal/node/entry/remote.go
@@ -81,6 +81,11 @@
 	return callOwner(ctx, r.h, msg.Group, wire.Report, msg, (*owner.Group).Report)
 }
 
+// Unwanted implements owner.Remote.
+func (r *remote) Unwanted(ctx context.Context, msg wire.UnwantedMsg) (wire.UnwantedAnswer, error) {
+	return callOwner(ctx, r.h, msg.Group, wire.Unwanted, msg, (*owner.Group).Unwanted)
+}
+
 // Groups returns the descriptions of the groups that live hosts own.
 func (r *remote) Groups() []wire.GroupInfo {
 	var groups []wire.GroupInfo
@@ -147,6 +152,7 @@
 	handleOwned(h, wire.Stop, func(m wire.StopMsg) string { return m.Group }, stopLocal)
 	handleOwned(h, wire.AttemptStatus, func(m wire.AttemptStatusMsg) string { return m.Group }, (*owner.Group).AttemptStatus)
 	handleOwned(h, wire.Report, func(m wire.ReportMsg) string { return m.Group }, (*owner.Group).Report)
+	handleOwned(h, wire.Unwanted, func(m wire.UnwantedMsg) string { return m.Group }, (*owner.Group).Unwanted)
 	handleOwned(h, wire.CallOnce, func(m wire.CallMsg) string { return m.Group }, h.onceLocal)
 	// Serve needs no owner: calls continue while the log is unavailable.
 	frame.Handle(s, wire.Serve, h.serveLocal)
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -67,6 +67,8 @@
 	AttemptStatus(ctx context.Context, msg wire.AttemptStatusMsg) (wire.AttemptStatusAnswer, error)
 	// Report reports ends of attempts to the home group of their jobs.
 	Report(ctx context.Context, msg wire.ReportMsg) (wire.ReportAnswer, error)
+	// Unwanted asks the home group of attempts that run which of them should not.
+	Unwanted(ctx context.Context, msg wire.UnwantedMsg) (wire.UnwantedAnswer, error)
 	// Groups lists the groups that live entry hosts own.
 	Groups() []wire.GroupInfo
 	// MayClaim reports whether this host may claim the group although, according
--- a/internal/node/owner/orders_test.go
+++ b/internal/node/owner/orders_test.go
@@ -118,6 +118,10 @@
 	return sendLooped(r, ctx, "report", msg, (*Group).Report)
 }
 
+func (r *loopRemote) Unwanted(ctx context.Context, msg wire.UnwantedMsg) (wire.UnwantedAnswer, error) {
+	return sendLooped(r, ctx, "unwanted", msg, (*Group).Unwanted)
+}
+
 func (r *loopRemote) Groups() []wire.GroupInfo {
 	size := jobs.Size{CPU: 8000, Mem: 16384}
 	return []wire.GroupInfo{{Group: "a-0", Epoch: 1, Az: "a", Capacity: size, Free: size, LargestFree: size}}
--- a/internal/node/owner/owner_test.go
+++ b/internal/node/owner/owner_test.go
@@ -60,6 +60,10 @@
 	return wire.ReportAnswer{}, notOwner("b-0")
 }
 
+func (noRemote) Unwanted(context.Context, wire.UnwantedMsg) (wire.UnwantedAnswer, error) {
+	return wire.UnwantedAnswer{}, notOwner("b-0")
+}
+
 func (noRemote) Groups() []wire.GroupInfo                  { return nil }
 func (noRemote) MayClaim(string, uint64, group.Owner) bool { return true }
 
--- a/internal/node/owner/preempt.go
+++ b/internal/node/owner/preempt.go
@@ -27,7 +27,7 @@
 	now := g.nowMs()
 	victims := g.allocations.SelectVictims(pl.requests[0], now, now+preemptHoldMs)
 	g.stats.Preempted += int64(len(victims))
-	g.stopLocal(victims)
+	g.stopLocal(victims, true)
 }
 
 // preempts reports whether the policy allows preemption.
@@ -37,12 +37,12 @@
 }
 
 // stopLocal sends stop requests for attempts on the group's own workers.
-func (g *Group) stopLocal(list []alloc.Attempt) {
+func (g *Group) stopLocal(list []alloc.Attempt, checkpoint bool) {
 	for _, at := range list {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 			defer cancel()
-			_ = g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: true})
+			_ = g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: checkpoint})
 		}()
 	}
 }
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"lagooncourse/internal/cell/alloc"
@@ -14,7 +15,8 @@
 // groups report ends: reportLoop does so for the attempts on this group's workers.
 // If an attempt's state is uncertain, for example after a start request without a
 // response or a change of the owner of the worker's group, the home group queries
-// that group.
+// that group. Conversely, a worker's group asks the home groups about the attempts that
+// run on its workers, and stops those that no home group has as placed tasks.
 
 const (
 	reportInterval = 300 * time.Millisecond
@@ -108,14 +110,17 @@
 	return records, nil
 }
 
-// reconcileLoop queries unconfirmed attempts and stops attempts that should no
-// longer run.
+// reconcileLoop queries unconfirmed attempts and stops attempts that should not run,
+// both of the group's jobs and on the group's workers.
 func (g *Group) reconcileLoop(ctx context.Context) {
 	every(ctx, g.cfg.Timing.ReconcileInterval, func(ctx context.Context) {
 		for name, queries := range g.unconfirmedQueries() {
 			go g.queryAttempts(ctx, name, queries)
 		}
 		g.stopUnwantedAttempts(ctx)
+		for home, attempts := range g.runningByHome() {
+			go g.stopUnrecorded(ctx, home, attempts)
+		}
 	})
 }
 
@@ -230,3 +235,61 @@
 	})
 	return list
 }
+
+// runningByHome returns the attempts that run on the group's workers, by home group.
+func (g *Group) runningByHome() map[string][]alloc.Attempt {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch == 0 {
+		return nil
+	}
+	return g.allocations.RunningByHome()
+}
+
+// stopUnrecorded stops those of the attempts on the group's workers that their home
+// group does not want.
+func (g *Group) stopUnrecorded(ctx context.Context, home string, attempts []alloc.Attempt) {
+	ctx, cancel := context.WithTimeout(ctx, requestTimeout)
+	defer cancel()
+	for batch := range slices.Chunk(attempts, maxQueryBatch) {
+		a, err := g.cfg.Remote.Unwanted(ctx, wire.UnwantedMsg{Group: home, Attempts: batch})
+		if err != nil {
+			return
+		}
+		if len(a.Attempts) > 0 {
+			g.logger.Info("stopping attempts that their home group does not want", "home", home, "attempts", len(a.Attempts), "first", a.Attempts[0])
+		}
+		g.stopLocal(a.Attempts, false)
+	}
+}
+
+// Unwanted returns those of the attempts, which run on workers, that are not the current
+// attempts of placed tasks. An intent is recorded before its attempt starts, so an owner
+// that the log confirms knows each attempt that may run.
+func (g *Group) Unwanted(ctx context.Context, msg wire.UnwantedMsg) (a wire.UnwantedAnswer, err error) {
+	if a, err = g.unrecorded(msg.Attempts); err != nil || len(a.Attempts) == 0 {
+		return a, err
+	}
+	if err := g.confirmOwner(ctx); err != nil {
+		return wire.UnwantedAnswer{}, err
+	}
+	return g.unrecorded(msg.Attempts)
+}
+
+func (g *Group) unrecorded(attempts []alloc.Attempt) (a wire.UnwantedAnswer, err error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.epoch == 0 {
+		return a, notOwner(g.cfg.Name)
+	}
+	for _, at := range attempts {
+		ref, err := jobs.ParseRef(at.Task)
+		if err == nil {
+			if _, ok := g.placedTask(ref, at.Number); ok {
+				continue
+			}
+		}
+		a.Attempts = append(a.Attempts, at)
+	}
+	return a, nil
+}
--- /dev/null
+++ b/internal/node/owner/unwanted_test.go
@@ -0,0 +1,58 @@
+package owner
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/plat/worker"
+)
+
+// startLate starts the first attempt of a job on the worker, as by a start request
+// that took long.
+func (o *orders) startLate(id jobs.ID) {
+	o.t.Helper()
+	h := o.fleet.List()[0]
+	w := worker.NewClient(worker.ClientConfig{URL: h.URL})
+	inv, err := w.Renew(context.Background(), worker.RenewRequest{Token: worker.Token{Epoch: 1}})
+	assert.NilError(o.t, err)
+	assert.NilError(o.t, w.Start(context.Background(), worker.StartRequest{
+		Token: worker.Token{Epoch: 1, Seq: 1 << 20}, Boot: inv.Boot,
+		Attempt: worker.Attempt{Task: (jobs.Ref{Job: id}).String(), Number: 1},
+		Home:    "a-0", Class: string(jobs.Batch), CPU: 1000, Mem: 16, RunMs: 60_000,
+	}))
+	all, _ := o.runs(id)
+	assert.Equal(o.t, all, 1)
+}
+
+// TestUnrecordedAttemptIsStopped starts an attempt on a worker whose home group does not
+// have it as a placed task, beside one that it has.
+func TestUnrecordedAttemptIsStopped(t *testing.T) {
+	for _, name := range []string{"ended job", "unknown job"} {
+		t.Run(name, func(t *testing.T) {
+			o := startOrders(t, &memLog{}, map[string]func(int) (bool, error){
+				"start": func(n int) (bool, error) { return n != 0, fault.New(fault.Unavailable, fault.NotRun, "no connection") },
+			}, nil)
+			id := jobs.ID("a-0.99")
+			if name == "ended job" {
+				id = o.submit("late", true).ID
+				o.cancel(id)
+				until(t, func() bool { j, _ := o.g.job(id); return j.Ended() })
+				_, running := o.runs(id)
+				assert.Equal(t, running, 0)
+			}
+			kept := o.submit("kept", true)
+			until(t, func() bool { _, running := o.runs(kept.ID); return running == 1 })
+			o.startLate(id)
+			o.untilStopped(id)
+			time.Sleep(2 * o.g.cfg.Timing.ReconcileInterval)
+			all, running := o.runs(kept.ID)
+			assert.Equal(t, all, 1)
+			assert.Equal(t, running, 1)
+		})
+	}
+}
--- a/internal/node/wire/wire.go
+++ b/internal/node/wire/wire.go
@@ -31,6 +31,7 @@
 	Serve         = frame.Method[CallMsg, CallAnswer]{ID: 12, Name: "serve"}
 	CallOnce      = frame.Method[CallMsg, CallAnswer]{ID: 13, Name: "once"}
 	List          = frame.Method[ListMsg, ListAnswer]{ID: 14, Name: "list"}
+	Unwanted      = frame.Method[UnwantedMsg, UnwantedAnswer]{ID: 15, Name: "unwanted"}
 )
 
 // Empty is a response without content.
@@ -203,6 +204,17 @@
 	Recorded []alloc.Attempt
 }
 
+// UnwantedMsg asks the owner of a job's group which attempts should not run.
+type UnwantedMsg struct {
+	Group    string
+	Attempts []alloc.Attempt // that run on workers of the sender's group
+}
+
+// UnwantedAnswer lists the attempts that are to be stopped.
+type UnwantedAnswer struct {
+	Attempts []alloc.Attempt
+}
+
 // CallMsg forwards a call to a service.
 type CallMsg struct {
 	Group      string // Serve: group of the targets; CallOnce: group that records the call
