Keep a running attempt of a worker's last inventory although its end is recorded

Seen: by a test only. An attempt that was reported as lost while its worker ran it on was taken off the books for good: its capacity counted as free, and nobody stopped it.

Cause: an inventory without changes is the last one less the attempts whose ends the renewal listed as recorded, since the worker deletes these. It deletes finished attempts only, so one that runs stayed at the worker and was dropped here, until the worker's next change.

Change: only finished attempts are dropped.

--- a/internal/node/owner/renew.go
+++ b/internal/node/owner/renew.go
@@ -234,10 +234,13 @@
 
 // reportedAttempts converts a worker's inventory for the capacity records. An
 // inventory marked Unchanged equals the last one without the attempts in deleted, which
-// the worker has deleted because the renewal listed their ends as recorded.
+// the worker has deleted because the renewal listed their ends as recorded. It does not
+// delete an attempt that runs.
 func reportedAttempts(inv worker.Inventory, last []alloc.ReportedAttempt, deleted []alloc.Attempt) []alloc.ReportedAttempt {
 	if inv.Unchanged {
-		return slices.DeleteFunc(slices.Clone(last), func(s alloc.ReportedAttempt) bool { return slices.Contains(deleted, s.Attempt) })
+		return slices.DeleteFunc(slices.Clone(last), func(s alloc.ReportedAttempt) bool {
+			return s.Reason != "" && slices.Contains(deleted, s.Attempt)
+		})
 	}
 	var list []alloc.ReportedAttempt
 	for _, r := range inv.Running {
--- a/internal/node/owner/unwanted_test.go
+++ b/internal/node/owner/unwanted_test.go
@@ -56,3 +56,15 @@
 		})
 	}
 }
+
+// TestLostAttemptThatRunsIsStopped reports a worker's attempts as lost although the
+// worker runs them on.
+func TestLostAttemptThatRunsIsStopped(t *testing.T) {
+	o := startOrders(t, &memLog{}, nil, nil)
+	j := o.submit("survey", false)
+	until(t, func() bool { _, running := o.runs(j.ID); return running == 1 })
+	o.g.mu.Lock()
+	o.g.allocations.MarkWorkerLost(o.fleet.List()[0].ID)
+	o.g.mu.Unlock()
+	o.untilStopped(j.ID)
+}
