Append no other batch before the outcome of one that was given up is known

Seen: by a test only. A cancellation was acknowledged whose record was not in the log. The same holds for any record in that batch: an end that a worker then deletes, a start, a submission.

Cause: an owner that is to hand over gives an append up after 2 s without an answer, and commits what is still pending under the same sequence number. If the log applies the first batch late, just before the second, the second is void, and reading back finds its sequence number applied. The first caller heard "unknown", the second "done".

Change: the batch that was given up is appended again before any other, and the group is not released while its outcome is unknown: then the ownership lapses as after a crash.

--- a/internal/node/owner/commit.go
+++ b/internal/node/owner/commit.go
@@ -17,6 +17,8 @@
 // An append without a response is retried with the same sequence number. The
 // first copy in the stream is applied. Later copies are void: they have no
 // effect. A batch is reported as NotRun only once it can no longer be applied.
+// No other batch is appended before the outcome of one that was given up is known: it
+// would have the same sequence number, and either could be taken for the other.
 
 const (
 	unwantedAppendTimeout = 2 * time.Second // how long an append is retried once this host should not own the group
@@ -68,6 +70,9 @@
 // flush appends a batch of pending proposals, if any, and reports the outcome to
 // each of them. It then waits for the commit interval.
 func (g *Group) flush(ctx context.Context) {
+	if !g.settleGivenUp(ctx) {
+		return
+	}
 	batch, taken := g.takeBatch()
 	if len(taken) == 0 {
 		return
@@ -84,6 +89,29 @@
 	}
 }
 
+// giveUp returns the error of a batch that the log may still apply.
+func (g *Group) giveUp(b group.Batch, detail string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.givenUp = &b
+	return fault.New(fault.Unavailable, fault.Unknown, "%s", detail)
+}
+
+// settleGivenUp appends the batch that was given up again, if any. It reports whether
+// the outcome of every batch is known.
+func (g *Group) settleGivenUp(ctx context.Context) bool {
+	g.mu.Lock()
+	b := g.givenUp
+	g.givenUp = nil
+	g.mu.Unlock()
+	if b != nil {
+		_ = g.appendBatch(ctx, *b) // sets givenUp if it gives up again
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.givenUp == nil
+}
+
 // takeBatch removes pending proposals until they hold at least maxBatchRecords
 // records, and returns them with their batch.
 func (g *Group) takeBatch() (group.Batch, []proposal) {
@@ -123,10 +151,10 @@
 		select {
 		case <-time.After(backoff):
 		case <-ctx.Done():
-			return fault.New(fault.Unavailable, fault.Unknown, "the host stopped before the log confirmed the change")
+			return g.giveUp(b, "the host stopped before the log confirmed the change")
 		}
 		if !g.isWanted() && g.cfg.Clock.Now().Sub(started) > unwantedAppendTimeout {
-			return fault.New(fault.Unavailable, fault.Unknown, "the group is being released and the log has not confirmed the change")
+			return g.giveUp(b, "the group is being released and the log has not confirmed the change")
 		}
 		backoff = min(2*backoff, maxAppendBackoff)
 	}
@@ -221,6 +249,7 @@
 	g.finishCalls(ctx)
 	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
 	defer cancel()
+	settled := g.settleGivenUp(ctx)
 	g.mu.Lock()
 	if g.epoch == 0 {
 		g.mu.Unlock()
@@ -235,7 +264,10 @@
 			p.done(notOwner(g.cfg.Name))
 		}
 	}
-	err := g.appendBatch(ctx, b)
+	err := error(fault.New(fault.Unavailable, fault.Unknown, "an earlier batch is not confirmed"))
+	if settled {
+		err = g.appendBatch(ctx, b)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.epoch = 0
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -144,6 +144,7 @@
 	workers       []hosts.Worker
 	renewers      map[string]*leaseRenewer // worker id -> its lease renewer
 	pending       []proposal
+	givenUp       *group.Batch            // its append was given up, and the log may still apply it
 	changed       chan struct{}           // closed and replaced when the state may have changed
 	placing       map[jobs.Ref]jobs.Size  // size of each item being placed
 	delayed       map[jobs.Ref]queue.Item // kept out of the queue until retryAt
@@ -209,6 +210,7 @@
 	g.reasons = map[jobs.ID][]string{}
 	g.inflight = map[string]*inflightCall{}
 	g.grants = newGrantState()
+	g.givenUp = nil
 	g.releasing = false
 }
 
