Count refused renewals as failures

Seen: by a test only. Tasks on a worker that refuses every renewal stayed placed for ever, and new tasks went on being placed there.

Cause: a refusal means that the worker has seen a later epoch, so the owner looks in the log for a claim. Without one it did nothing more: the worker stayed ready and was never lost.

Evidence: TestRefusingWorkerIsLost, "condition not met within 5s: the attempt on the worker has ended" in 3 of 3 runs.

--- a/internal/node/owner/renew.go
+++ b/internal/node/owner/renew.go
@@ -283,9 +283,9 @@
 	}
 	if fault.HasCode(err, fault.Conflict) {
 		// The worker has seen a later epoch, but only the log determines the
-		// owner. The next append or read shows a claim, if there is one.
+		// owner. The next append or read shows a claim, if there is one. Without
+		// one, the worker is as good as lost.
 		g.proposeEmptyBatch()
-		return false, false
 	}
 	lr.failures++
 	if lr.failures >= maxFailedRenewals {
