Keep a worker that leaves the host list before its first inventory

Seen: by a test only. A new owner of a worker's group reported a task as lost, 12 s after the takeover, that the worker went on running under the owner's own renewals. An idempotent task could then run in two places.

Cause: a worker off the list was removed as soon as it had no allocations. After a takeover it has none until its first inventory. Its renewals go on, their inventories were ignored, and a question about an attempt there was answered as for a worker that was never listed.

Evidence: TestUnheardWorkerIsKept, "ended != unsure".

Change: it is removed only once its inventory is known or its lease has expired.

--- a/internal/cell/alloc/alloc.go
+++ b/internal/cell/alloc/alloc.go
@@ -104,7 +104,8 @@
 
 // SetWorkers updates the workers from the host list. The list may be wrong, so a
 // worker that is no longer listed is marked as draining and removed only when it
-// has no allocations.
+// is known to run no attempt: it has no allocations, and its newest inventory is
+// known or its lease has expired.
 func (al *Allocations) SetWorkers(list []Worker) {
 	listed := map[string]bool{}
 	for _, worker := range list {
@@ -121,7 +122,7 @@
 			continue
 		}
 		w.Draining = true
-		if len(w.allocations) == 0 {
+		if len(w.allocations) == 0 && (w.ready || w.lost) {
 			delete(al.workers, id)
 		}
 	}
--- a/internal/cell/alloc/alloc_test.go
+++ b/internal/cell/alloc/alloc_test.go
@@ -365,6 +365,25 @@
 	assert.Equal(t, slot.Worker, "w1")
 }
 
+// TestUnheardWorkerIsKept takes a worker that has not reported an inventory yet off the
+// host list. Its attempts must not be reported as lost while it may run them.
+func TestUnheardWorkerIsKept(t *testing.T) {
+	al := New()
+	q := Query{Attempt: Attempt{Task: "b-0.1/0", Number: 1}, Worker: "w1", Boot: 7}
+	al.SetWorkers([]Worker{{ID: "w1", Capacity: jobs.Size{CPU: 8}}})
+	al.SetWorkers(nil)
+	status, _ := al.AttemptStatus(q, true)
+	assert.Equal(t, status, StatusUnknown)
+	al.ApplyInventory("w1", Inventory{Boot: 7, Attempts: []ReportedAttempt{{Attempt: q.Attempt, Home: "b-0", Kind: jobs.Batch, Size: jobs.Size{CPU: 1}}}})
+	status, _ = al.AttemptStatus(q, true)
+	assert.Equal(t, status, StatusRunning)
+
+	al.SetWorkers([]Worker{{ID: "w2", Capacity: jobs.Size{CPU: 8}}})
+	al.MarkWorkerLost("w2")
+	al.SetWorkers(nil)
+	assert.DeepEqual(t, al.Workers(), []string{"w1"})
+}
+
 // TestVictimsAreSelectedAgain selects victims whose stop requests are lost. They must be
 // selected again once the hold for the urgent attempt has ended, and not before.
 func TestVictimsAreSelectedAgain(t *testing.T) {
