Drain other tasks while some do not stop

Seen: by a test only. While eight tasks of a zone out of service, or of leaving workers, did not stop, no other task there was asked to.

Cause: a round of draining stops the first eight running tasks, and asks the same ones again until they have stopped.

Change: a task that has been asked for 5 s gives its turn to another, and is asked again when all have had one. Still eight at most are asked at a time.

--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -154,6 +154,7 @@
 	reasons       map[jobs.ID][]string     // recent explanations of a job's status, newest last
 	inflight      map[string]*inflightCall // group.RequestKey of team and call id -> call in progress
 	grants        grantState
+	drainTurns    map[alloc.Attempt]time.Time // start of the turn of each attempt that is being drained
 	lastSnapshot  time.Time
 	lastPurge     time.Time
 	logDown       bool // the log did not respond to the last append or read
@@ -211,6 +212,7 @@
 	g.inflight = map[string]*inflightCall{}
 	g.grants = newGrantState()
 	g.givenUp = nil
+	g.drainTurns = nil
 	g.releasing = false
 }
 
--- a/internal/node/owner/workers.go
+++ b/internal/node/owner/workers.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"time"
 
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/alloc"
@@ -154,33 +156,61 @@
 	return a, nil
 }
 
-// maxDrainBatch bounds the tasks that one round of draining stops, so that an
-// availability zone taken out of service does not overload the others.
-const maxDrainBatch = 8
+const (
+	// maxDrainBatch bounds the tasks that one round of draining stops, so that an
+	// availability zone taken out of service does not overload the others.
+	maxDrainBatch = 8
+	// drainTurn is the time for which a task is asked to stop before others get a turn.
+	drainTurn = 5 * time.Second
+)
 
 // drain stops tasks, with a checkpoint, on workers that are leaving or whose
 // availability zone is out of service.
 func (g *Group) drain(ctx context.Context) {
-	for _, at := range g.attemptsToDrain(g.cfg.Cell.State()) {
+	for _, at := range g.attemptsToDrain(g.cfg.Cell.State(), g.cfg.Clock.Now()) {
 		go func() { _ = g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: true}) }()
 	}
 }
 
 // attemptsToDrain returns the attempts for the next round of draining.
-func (g *Group) attemptsToDrain(cell *config.State) []alloc.Attempt {
+func (g *Group) attemptsToDrain(cell *config.State, now time.Time) []alloc.Attempt {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	azOut := cell.AzOutOfService(g.cfg.Az)
-	var list []alloc.Attempt
+	var running []alloc.Attempt
 	for _, h := range g.workers {
 		if !azOut && h.State != hosts.Leaving {
 			continue
 		}
 		for _, r := range g.allocations.Running(h.ID) {
-			if len(list) < maxDrainBatch {
-				list = append(list, r.Attempt)
-			}
+			running = append(running, r.Attempt)
 		}
 	}
+	var list []alloc.Attempt
+	list, g.drainTurns = nextDrain(running, g.drainTurns, now)
 	return list
 }
+
+// nextDrain returns the attempts to stop now, and the starts of the turns of all that
+// run. The attempts that have a turn come first, then those that have had none, then
+// those whose turn is over, the longest ago first.
+func nextDrain(running []alloc.Attempt, turns map[alloc.Attempt]time.Time, now time.Time) ([]alloc.Attempt, map[alloc.Attempt]time.Time) {
+	next := map[alloc.Attempt]time.Time{}
+	var current, others []alloc.Attempt
+	for _, at := range running {
+		if began, ok := turns[at]; ok {
+			next[at] = began
+		}
+		if now.Sub(next[at]) < drainTurn {
+			current = append(current, at)
+		} else {
+			others = append(others, at)
+		}
+	}
+	slices.SortStableFunc(others, func(a, b alloc.Attempt) int { return next[a].Compare(next[b]) })
+	for _, at := range others[:min(len(others), max(maxDrainBatch-len(current), 0))] {
+		next[at] = now
+		current = append(current, at)
+	}
+	return current, next
+}
