Log why stops, starts, queries and reports failed

Seen: a stop, a query or a report of an end that failed left no line, and a start only a count, so nothing told a lost order from one that was never given.

--- a/internal/node/entry/host.go
+++ b/internal/node/entry/host.go
@@ -355,9 +355,11 @@
 		if !due || len(live) == 0 || live[0].ID != h.settings.Host.ID {
 			return
 		}
-		if err := h.follower.appendSnapshot(ctx); err == nil {
-			last = now
+		if err := h.follower.appendSnapshot(ctx); err != nil {
+			h.log.Info("appending the snapshot of the configuration failed", "err", err.Error())
+			return
 		}
+		last = now
 	})
 }
 
--- a/internal/node/owner/group.go
+++ b/internal/node/owner/group.go
@@ -159,6 +159,8 @@
 	lastPurge     time.Time
 	logDown       bool // the log did not respond to the last append or read
 	stats         Stats
+
+	failures failureLimits
 }
 
 // Stats counts the operations of a group on this host.
--- a/internal/node/owner/preempt.go
+++ b/internal/node/owner/preempt.go
@@ -42,7 +42,9 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 			defer cancel()
-			_ = g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: checkpoint})
+			if err := g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: checkpoint}); err != nil {
+				g.logFailed("stop", err, "of", g.cfg.Name, "attempt", at)
+			}
 		}()
 	}
 }
--- a/internal/node/owner/reconcile.go
+++ b/internal/node/owner/reconcile.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/cell/alloc"
 	"lagooncourse/internal/cell/group"
 	"lagooncourse/internal/cell/jobs"
@@ -53,6 +54,7 @@
 	msg := wire.ReportMsg{Group: home, Reports: reports}
 	a, err := g.cfg.Remote.Report(ctx, msg)
 	if err != nil {
+		g.logFailed("report", err, "home", home, "ends", len(reports))
 		return
 	}
 	g.mu.Lock()
@@ -170,7 +172,11 @@
 	defer cancel()
 	msg := wire.AttemptStatusMsg{Group: name, Queries: queries}
 	a, err := g.cfg.Remote.AttemptStatus(ctx, msg)
-	if err != nil || len(a.Statuses) != len(queries) || len(a.Reports) != len(queries) {
+	if err == nil && (len(a.Statuses) != len(queries) || len(a.Reports) != len(queries)) {
+		err = fault.New(fault.BadResponse, fault.Unknown, "%d states and %d reports", len(a.Statuses), len(a.Reports))
+	}
+	if err != nil {
+		g.logFailed("query", err, "of", name, "attempts", len(queries), "first", queries[0].Attempt)
 		return
 	}
 	for i, q := range queries {
@@ -205,7 +211,9 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(ctx, requestTimeout)
 			defer cancel()
-			_ = g.cfg.Remote.Stop(ctx, msg)
+			if err := g.cfg.Remote.Stop(ctx, msg); err != nil {
+				g.logFailed("stop", err, "of", msg.Group, "attempt", msg.Attempt)
+			}
 		}()
 	}
 }
@@ -254,6 +262,7 @@
 	for batch := range slices.Chunk(attempts, maxQueryBatch) {
 		a, err := g.cfg.Remote.Unwanted(ctx, wire.UnwantedMsg{Group: home, Attempts: batch})
 		if err != nil {
+			g.logFailed("question for unwanted attempts", err, "home", home, "attempts", len(attempts))
 			return
 		}
 		if len(a.Attempts) > 0 {
--- a/internal/node/owner/start.go
+++ b/internal/node/owner/start.go
@@ -38,6 +38,9 @@
 	if err != nil && fault.OutcomeOf(err) == fault.NotRun {
 		answer.Status = alloc.StatusAbsent
 	}
+	if err != nil {
+		g.logFailed("start", err, "of", msg.Group, "attempt", msg.Attempt)
+	}
 	if answer.Status == alloc.StatusAbsent {
 		g.proposeEnd(ref, msg.Attempt.Number, alloc.Report{Reason: jobs.EndNeverStarted})
 	}
@@ -51,7 +54,10 @@
 	if _, ok := g.placedTask(ref, attempt); !ok {
 		return
 	}
-	_ = g.propose(proposal{records: []group.Record{{End: &jobs.End{
+	err := g.propose(proposal{records: []group.Record{{End: &jobs.End{
 		Ref: ref, Attempt: attempt, Reason: r.Reason, Result: r.Result, Checkpoint: r.Checkpoint, AtMs: g.nowMs(),
 	}}}})
+	if err != nil { // the attempt is queried again
+		g.logFailed("record of an end", err, "attempt", alloc.Attempt{Task: ref.String(), Number: attempt})
+	}
 }
--- a/internal/node/owner/workers.go
+++ b/internal/node/owner/workers.go
@@ -62,6 +62,9 @@
 		return wire.StartAnswer{Status: alloc.StatusAbsent}, nil
 	}
 	err = lr.client.Start(ctx, startRequest(msg, epoch, token))
+	if err != nil {
+		g.logFailed("start on a worker", err, "worker", token.Worker, "attempt", msg.Attempt)
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.epoch != epoch {
@@ -168,7 +171,11 @@
 // availability zone is out of service.
 func (g *Group) drain(ctx context.Context) {
 	for _, at := range g.attemptsToDrain(g.cfg.Cell.State(), g.cfg.Clock.Now()) {
-		go func() { _ = g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: true}) }()
+		go func() {
+			if err := g.Stop(ctx, wire.StopMsg{Group: g.cfg.Name, Attempt: at, Checkpoint: true}); err != nil {
+				g.logFailed("stop", err, "of", g.cfg.Name, "attempt", at)
+			}
+		}()
 	}
 }
 
