--- a/internal/node/entry/entry_test.go
+++ b/internal/node/entry/entry_test.go
@@ -17,6 +17,7 @@
 
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/base/polls"
 	"lagooncourse/internal/cell/config"
 	"lagooncourse/internal/cell/jobs"
 	"lagooncourse/internal/node/wire"
@@ -430,3 +431,57 @@
 	defer h.Kill()
 	assert.NilError(t, <-answered)
 }
+
+// TestUnrecordedAttemptIsStopped starts attempts late on a worker of one group that the
+// home groups, on both hosts, do not have.
+func TestUnrecordedAttemptIsStopped(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 2, workers: 6})
+	homes := []string{"a-0", "b-0", "c-0"}
+	until(t, "all groups have owners", func() bool {
+		for _, name := range homes {
+			if c.hosts[0].ownedGroup(name) == nil && c.hosts[1].ownedGroup(name) == nil {
+				return false
+			}
+		}
+		return true
+	})
+	h := c.fleet.List()[0]
+	w := worker.NewClient(worker.ClientConfig{URL: h.URL})
+	inv, err := w.Renew(context.Background(), worker.RenewRequest{Token: worker.Token{Epoch: 1}})
+	assert.NilError(t, err)
+	for _, home := range homes {
+		assert.NilError(t, w.Start(context.Background(), worker.StartRequest{
+			Token: worker.Token{Epoch: 1, Seq: 1 << 20}, Boot: inv.Boot, Attempt: worker.Attempt{Task: home + ".99/0", Number: 1},
+			Home: home, Class: string(jobs.Batch), CPU: 1000, Mem: 16, RunMs: 60_000,
+		}))
+	}
+	polls.Until(t, stopBound, "no attempt runs", func() bool { return running(c) == 0 })
+	for _, r := range c.fleet.Runs() {
+		assert.Equal(t, r.End, worker.EndStopped, r.Task)
+	}
+}
+
+// stopBound is the time within which an attempt that should not run must have stopped.
+const stopBound = 3900 * time.Millisecond
+
+// TestCancelledJobStopsAfterTakeover ends the owner of a job's group at once after it
+// has acknowledged the job's cancellation.
+func TestCancelledJobStopsAfterTakeover(t *testing.T) {
+	c := startTestCell(t, testCellConfig{hosts: 2, workers: 6})
+	c.createTeam("lab", 8000)
+	spec := testSpec("survey", 60_000)
+	spec.Idempotent = true
+	j := c.submit(c.hosts[0], "lab", spec)
+	until(t, "the task runs", func() bool { return running(c) == 1 })
+	name, _ := j.ID.Group()
+	home, other := 0, 1
+	if c.hosts[home].ownedGroup(name) == nil {
+		home, other = 1, 0
+	}
+	_, err := send[JobAnswer](c.hosts[other], "lab.secret", http.MethodPost, "/jobs/"+string(j.ID)+"/cancel", nil)
+	assert.NilError(t, err)
+	c.hosts[home].Kill()
+	until(t, "the job is cancelled", func() bool { return c.state(c.hosts[other], j.ID) == jobs.Cancelled })
+	assert.Equal(t, running(c), 0)
+	assert.Equal(t, len(c.fleet.Runs()), 1)
+}
