--- a/internal/node/owner/orders_test.go
+++ b/internal/node/owner/orders_test.go
@@ -25,7 +25,8 @@
 	"lagooncourse/internal/plat/worker"
 )
 
-// stopBound is the time within which an attempt that should not run must have stopped.
+// stopBound is the time within which an attempt that should not run must have stopped, and
+// one whose start was lost must have started.
 const stopBound = 3900 * time.Millisecond
 
 // grantedCell is a configuration with a team "lab" that applies changes of grants.
@@ -263,6 +264,26 @@
 	return g.state.Job(id)
 }
 
+// TestStartIsGivenAgain loses the first start request of a task, or confirms it without
+// effect. The task runs once, as a later attempt.
+func TestStartIsGivenAgain(t *testing.T) {
+	for name, err := range map[string]error{
+		"refused":   fault.New(fault.Unavailable, fault.NotRun, "no connection"),
+		"lost":      fault.New(fault.Timeout, fault.Unknown, "no response"),
+		"confirmed": nil,
+	} {
+		t.Run(name, func(t *testing.T) {
+			o := startOrders(t, &memLog{}, map[string]func(int) (bool, error){
+				"start": func(n int) (bool, error) { return n >= 1, err },
+			}, nil)
+			j := o.submit("survey", false)
+			polls.Until(t, stopBound, "the task runs", func() bool { _, running := o.runs(j.ID); return running == 1 })
+			all, _ := o.runs(j.ID)
+			assert.Equal(t, all, 1)
+		})
+	}
+}
+
 // TestReportIsRepeated loses the first reports of an end, or answers them without
 // recording the end.
 func TestReportIsRepeated(t *testing.T) {
