--- a/internal/node/owner/unwanted_test.go
+++ b/internal/node/owner/unwanted_test.go
@@ -8,7 +8,9 @@
 	"gotest.tools/v3/assert"
 
 	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/cell/alloc"
 	"lagooncourse/internal/cell/jobs"
+	"lagooncourse/internal/node/wire"
 	"lagooncourse/internal/plat/worker"
 )
 
@@ -68,3 +70,17 @@
 	o.g.mu.Unlock()
 	o.untilStopped(j.ID)
 }
+
+// TestUnwantedOnlyFromOwner asks a replaced owner that has not noticed about an attempt
+// that its successor may have started.
+func TestUnwantedOnlyFromOwner(t *testing.T) {
+	g, log := newOwnedGroup(t)
+	msg := wire.UnwantedMsg{Group: "a-0", Attempts: []alloc.Attempt{{Task: "a-0.9/0", Number: 1}}}
+	a, err := g.Unwanted(context.Background(), msg)
+	assert.NilError(t, err)
+	assert.DeepEqual(t, a.Attempts, msg.Attempts)
+	appendOtherClaim(t, log)
+	a, err = g.Unwanted(context.Background(), msg)
+	assert.Assert(t, fault.HasCode(err, fault.NotOwner), "%v", err)
+	assert.Equal(t, len(a.Attempts), 0)
+}
