End a cancelled task with its attempt, also one that may run once

Seen: by a test only. A cancelled task that may run once, and that was stopped without a checkpoint or lost with its worker, was parked: it waited for an operator, or for a second cancellation.

Cause: the cancellation is noted in the task and carried out when its attempt has ended, but parking did not look at the note. Cancelling a parked task ends it at once.

Evidence: TestCancelledTaskEndsWithItsAttempt, "parked != cancelled: batch, idempotent false, stopped".

Change: such a task is cancelled, with the reason that a parked one gets. It still never runs again. While hosts of both versions run, they may show a task of this kind differently.

--- a/internal/cell/jobs/task.go
+++ b/internal/cell/jobs/task.go
@@ -75,6 +75,8 @@
 // Placement returns the worker selected for the latest attempt.
 func (t Task) Placement() Placement { return Placement{Group: t.Group, Worker: t.Worker, Boot: t.Boot} }
 
+const cancelledUnknown = "cancelled while its outcome was unknown"
+
 // WithCancel returns the task after a cancellation request. A placed task stays
 // placed until its attempt has ended.
 func (t Task) WithCancel(nowMs int64) Task {
@@ -84,7 +86,7 @@
 	case Placed:
 		t.Cancelling = true
 	case Parked:
-		t.State, t.EndMs, t.Reason = Cancelled, nowMs, "cancelled while its outcome was unknown"
+		t.State, t.EndMs, t.Reason = Cancelled, nowMs, cancelledUnknown
 	}
 	return t
 }
@@ -138,6 +140,9 @@
 		return t.retryOrCancel()
 	}
 	t.State, t.Reason = Parked, reason
+	if t.Cancelling {
+		t.State, t.Reason = Cancelled, cancelledUnknown
+	}
 	return t
 }
 
