Repeat a stop that another worker has refused, and keep its start withdrawn

Seen: nothing by callers yet. A simulation with cancelled jobs, silent workers, lost owners and orders that reach another worker at the address (TestNoRunOutlastsItsJob) left a task of an accepted job placed for good: it was not started again within 140 s.

Cause: the start of the run got no answer, so a stop had to precede the next one. The stop was refused by another worker (421) and dropped, while the allocation went on to count it as requested. Reports repeat stops only of runs that they list or that were confirmed, and this run was neither. Its capacity stayed allocated as well, also for jobs that have ended. Found beside it: StopNotSent took back that a stop was requested, after which a start of a cancelled job that was about to be sent would have been sent.

Change: StopNotSent is called for such a refusal too. It marks the stop as lost, which the next report makes good, whether it lists the run or not; the start stays withdrawn. The simulated workers can confirm a stop without carrying it out and refuse orders as another worker would; the simulation drops stops to workers without an address, as the owner does.

--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -415,29 +415,28 @@
 // the run. A worker takes up to 900 ms to stop a run, and lists it until then.
 const stopAgainMs = 1_500
 
-// StopNotSent is called when a stop was given up without having been sent, since the
-// address of the worker is not known. The next report that lists the run requests it
-// again.
+// StopNotSent is called when a stop was given up without having reached the worker, whose
+// address is not known or belongs to another worker. The next report requests it again.
 func (p *Planner) StopNotSent(s Stop) {
 	if w := p.workers[s.Worker]; w != nil {
 		if a := w.allocations[s.Ref]; a != nil && a.run == s.Run {
-			a.stopping = false
+			a.stopLost = true // a.stopping stays set: a start of the run must not be sent
 		}
 	}
 }
 
-// stop requests a stop of a run, again after stopAgainMs: the worker may have confirmed a
-// stop and not carried it out, or have restarted and got the start late. A start that
-// ReleaseStarts has not returned yet needs no stop, because ReleaseStarts withdraws it.
+// stop requests a stop of a run, again after stopAgainMs or StopNotSent: the worker may have
+// confirmed a stop and not carried it out, or have restarted and got the start late. A start
+// that ReleaseStarts has not returned yet needs no stop, because ReleaseStarts withdraws it.
 func (p *Planner) stop(w *Worker, r Ref, run int, reason StopReason) {
 	s := Stop{Worker: w.ID, Ref: r, Run: run, Reason: reason}
 	a := w.allocations[r]
 	if a != nil && a.run == run {
-		if a.phase == phaseIntent || a.stopping && p.tickMs-a.stopMs < stopAgainMs {
+		if a.phase == phaseIntent || a.stopping && !a.stopLost && p.tickMs-a.stopMs < stopAgainMs {
 			return
 		}
 		s.Earlier, s.Confirmed = a.stops, a.phase == phaseStopConfirmed
-		a.stopping, a.stopMs = true, p.tickMs
+		a.stopping, a.stopLost, a.stopMs = true, false, p.tickMs
 		a.stops++
 	}
 	p.stops = append(p.stops, s)
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -347,8 +347,9 @@
 
 // checkRunning compares the runs that a worker lists with its allocations. Runs
 // that are missing from the report are requeued if a stop was confirmed or they
-// were adopted. If the worker had confirmed their start, they are stopped first;
-// they are requeued when a report requested after the confirmed stop omits them too.
+// were adopted. If the worker had confirmed their start, or it may still arrive, they are
+// stopped first; they are requeued when a report requested after the confirmed stop omits
+// them too.
 func (p *Planner) checkRunning(w *Worker, report WorkerReport, now Instant) {
 	listed := make(map[Ref]bool, len(report.Running))
 	lingering := 0
@@ -377,6 +378,10 @@
 			p.stopGang(ref)
 		case phaseRunning:
 			p.stop(w, ref, a.run, StopMissing)
+		case phaseSent:
+			if a.stopping {
+				p.stop(w, ref, a.run, StopMissing)
+			}
 		}
 	}
 }
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -47,6 +47,7 @@
 //	    it was not sent before
 //	up, refused, unknown, nocapacity or stale, each with TASK or "all"
 //	stop-confirmed WORKER TASK RUN
+//	stop-not-sent WORKER TASK RUN
 //	unanswered WORKER
 //	renew WORKER    a renewal is sent
 //	list WORKER [incarnation=N] [run:TASK:RUN] [end:SEQ:TASK:RUN:REASON]
@@ -291,6 +292,9 @@
 	case "stop-confirmed":
 		ref, _ := ParseRef(f[2])
 		s.p.StopConfirmed(Stop{Worker: f[1], Ref: ref, Run: int(num(f[3]))}, s.now)
+	case "stop-not-sent":
+		ref, _ := ParseRef(f[2])
+		s.p.StopNotSent(Stop{Worker: f[1], Ref: ref, Run: int(num(f[3]))})
 	case "unanswered":
 		s.p.HeartbeatFailed(f[1])
 	case "renew":
--- a/internal/cell/sched/worker.go
+++ b/internal/cell/sched/worker.go
@@ -31,6 +31,7 @@
 	stopping     bool  // a stop was requested
 	stopMs       int64 // time of the last Tick before that
 	stops        int   // number of requested stops
+	stopLost     bool  // the last of them has not reached the worker
 	runMs        int64 // expected run time, in ms
 	endMs        int64 // expected end, monotonic
 	survived     bool  // the worker has listed it as active crashWindowMs after its start
--- a/internal/node/lead/simulation_test.go
+++ b/internal/node/lead/simulation_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math/rand"
+	"slices"
 	"sort"
 	"testing"
 
@@ -31,6 +32,8 @@
 	entries       []sched.WorkerInfo // registry entries as last written
 	lateEntries   []sched.WorkerInfo // entries that were replaced by one of a newer incarnation
 	disabled      mutation
+	registryLagMs int64           // how long a new owner waits for its first reading of the registry
+	hidden        map[string]bool // workers that write no registry entries
 }
 
 // mutation selects a safeguard to disable, to show that the simulation detects it.
@@ -103,6 +106,9 @@
 		silence = -20_000 // cancels the wait for a lease
 	}
 	o := &simOwner{epoch: int64(len(sim.owners) + 1), clocks: map[string][3]int64{}, confirmedMs: sim.nowMs}
+	if sim.registryLagMs > 0 {
+		o.registryMs = sim.nowMs + sim.registryLagMs - simRegistryMs
+	}
 	if sim.disabled == noFence {
 		o.epoch = 1
 	}
@@ -196,7 +202,7 @@
 	for _, info := range sim.entries {
 		before[info.ID] = info
 	}
-	sim.entries = sim.fleet.Entries()
+	sim.entries = slices.DeleteFunc(sim.fleet.Entries(), func(info sched.WorkerInfo) bool { return sim.hidden[info.ID] })
 	for i, info := range sim.entries {
 		if old, ok := before[info.ID]; ok && old.Incarnation < info.Incarnation {
 			sim.lateEntries = append(sim.lateEntries, old)
@@ -285,11 +291,19 @@
 // sendStop sends a stop and queues it for the next round if it is not answered and
 // the planner still tracks the worker.
 func (sim *simulation) sendStop(o *simOwner, s sched.Stop) {
+	if _, tracked := o.planner.Worker(s.Worker); !tracked {
+		o.planner.StopNotSent(s)
+		return
+	}
 	err := sim.fleet.StopAt(ports.StopOrder{Peer: ports.Peer{ID: s.Worker}, Token: o.epoch, Task: s.Ref.String(), Run: s.Run}, sim.nowMs)
 	if err == nil {
 		o.planner.StopConfirmed(s, sim.now())
 		return
 	}
+	if ports.ReasonOf(err) == ports.RefusedIncarnation {
+		o.planner.StopNotSent(s)
+		return
+	}
 	var refused *ports.RefusedError
 	if _, tracked := o.planner.Worker(s.Worker); tracked && !errors.As(err, &refused) {
 		o.stops = append(o.stops, s)
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -185,9 +185,9 @@
 
 // handleStopResult processes the result of a stop and reports whether no retry is
 // needed. A stop without an answer, or refused for overload, must be retried. A
-// refusal because of a higher fencing token ends ownership, and a restarted worker
-// no longer has the run. In all other cases the planner checks the run against the
-// worker's next report.
+// refusal because of a higher fencing token ends ownership. If another worker has the
+// address by now, the worker's next report comes from its new one. In all other cases the
+// planner checks the run against the worker's next report.
 func (o *Owner) handleStopResult(s sched.Stop, err error) bool {
 	switch reason := ports.ReasonOf(err); {
 	case err == nil:
@@ -197,6 +197,7 @@
 		o.stopIfFenced(err)
 		return true
 	case reason == ports.RefusedIncarnation:
+		o.locked(func() { o.planner.StopNotSent(s) })
 		return true
 	}
 	o.locked(func() { o.planner.StopConfirmed(s, o.now()) })
--- a/internal/plat/fakes/simfleet.go
+++ b/internal/plat/fakes/simfleet.go
@@ -53,6 +53,12 @@
 	Lost float64 // a start or stop is carried out but not answered
 	Late float64 // a start or stop is not answered and is carried out 2 to 12 s later
 	Fail float64 // a run fails
+
+	// The next two cost no random number while they are 0, so that the seeds of earlier
+	// simulations keep their meaning.
+
+	Deaf  float64 // a stop of an active run is confirmed and not carried out
+	Moved float64 // an order reaches another worker, which refuses it
 }
 
 // SimFleetConfig is the configuration of a SimFleet.
@@ -340,6 +346,26 @@
 	return tasks
 }
 
+// SimRun is an active run.
+type SimRun struct {
+	Worker  string
+	Task    string
+	Run     int
+	StartMs int64
+}
+
+// ActiveRuns returns all active runs.
+func (f *SimFleet) ActiveRuns() (list []SimRun) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, w := range f.workers {
+		for task, r := range w.runs {
+			list = append(list, SimRun{Worker: w.info.ID, Task: task, Run: r.number, StartMs: r.startMs})
+		}
+	}
+	return list
+}
+
 // Started reports whether any task of the job has started.
 func (f *SimFleet) Started(job string) bool {
 	f.mu.Lock()
@@ -661,6 +687,9 @@
 	return 0
 }
 
+// draw returns true with probability x.
+func (f *SimFleet) draw(x float64) bool { return x > 0 && f.rand.Float64() < x }
+
 // reachableWorker returns the worker, or errNoAnswer if it is unreachable.
 func (f *SimFleet) reachableWorker(p ports.Peer) (*simWorker, error) {
 	w := f.workers[p.ID]
@@ -680,6 +709,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if f.draw(f.faults.Moved) {
+		return 0, &ports.RefusedError{Reason: ports.RefusedIncarnation, Status: 421}
+	}
 	switch d := f.drawFault(); {
 	case d > 0:
 		f.late = append(f.late, lateOrder{atMs: nowMs + d, sentMs: nowMs, start: &o})
@@ -696,9 +728,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.advance(nowMs)
-	if _, err := f.reachableWorker(o.Peer); err != nil {
+	w, err := f.reachableWorker(o.Peer)
+	if err != nil {
 		return err
 	}
+	switch {
+	case f.draw(f.faults.Moved):
+		return &ports.RefusedError{Reason: ports.RefusedIncarnation, Status: 421}
+	case w.runs[o.Task] != nil && f.draw(f.faults.Deaf):
+		return nil
+	}
 	switch d := f.drawFault(); {
 	case d > 0:
 		f.late = append(f.late, lateOrder{atMs: nowMs + d, sentMs: nowMs, stop: &o})
