A listing of the worker registry that times out gets more time

Seen: a run of a cancelled job goes on as long as each listing of the registry takes longer than 700 ms: the new owner knows the address of no worker, so it calls none and its stops are dropped. It starts nothing either.

Cause: each try of the listing had the same time-out, which counts as no answer, however often it is repeated.

Change: a listing that has timed out gets twice the time at the next try, 2.5 s at most.

--- a/internal/node/lead/orders_test.go
+++ b/internal/node/lead/orders_test.go
@@ -55,3 +55,36 @@
 		t.Fatal("the task was not started again")
 	}
 }
+
+// slowRegistry confirms all appends. Each listing of its registry takes delay.
+type slowRegistry struct {
+	gatedStore
+	delay time.Duration
+}
+
+func (s *slowRegistry) Append(context.Context, ports.AppendRequest) (int64, error) { return 0, nil }
+
+func (s *slowRegistry) Newest(ctx context.Context, topic, after string) (ports.Newest, error) {
+	if clock.Sleep(ctx, s.delay); ctx.Err() != nil {
+		return ports.Newest{}, fault.New(fault.Timeout, fault.Unknown, "no answer")
+	}
+	return s.gatedStore.Newest(ctx, topic, after)
+}
+
+// TestSlowRegistryIsRead guards against an owner that calls no worker as long as a listing
+// of the registry takes longer than one time-out: runs of cancelled jobs went on.
+func TestSlowRegistryIsRead(t *testing.T) {
+	const id = "00000000000000aa"
+	r := &stoppable{stopped: make(chan struct{})}
+	r.running = []sched.Running{{Task: id + ".0.0.0", Run: 3}}
+	o := Start(ownerConfig(cancelledState(t, id), &slowRegistry{delay: 1_200 * time.Millisecond}, r, clock.System{}))
+	t.Cleanup(func() {
+		o.Stop("the test has ended")
+		<-o.Done()
+	})
+	select {
+	case <-r.stopped:
+	case <-time.After(cancelBoundMs * time.Millisecond):
+		t.Fatal("the run was not stopped")
+	}
+}
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -78,6 +78,7 @@
 	planInterval         = 25 * time.Millisecond   // maximum time between planner runs; expired tickets and due jobs cause no wake-up
 	registryPollInterval = 250 * time.Millisecond  // a worker must get no start later than 2 s after its registry entry says that it drains
 	storeTimeout         = 700 * time.Millisecond  // of a registry read, and of an append unless the last ones took long
+	maxListingTimeout    = 2500 * time.Millisecond // of a page of a listing of the registry, after others have timed out
 	maxAppendTimeout     = 2500 * time.Millisecond // the store refuses an append that would have to wait longer than 2 s
 	appendTimeoutFactor  = 4                       // latencies of the last append
 	appendRetryPause     = 25 * time.Millisecond
@@ -106,6 +107,8 @@
 	storeSlow bool          // the last append was slow; used by the write loop only
 	latency   time.Duration // of the last confirmed append; used by the write loop only
 
+	listingTimeout time.Duration // of the next listing of the registry; used by the registry loop only
+
 	plannedAt atomic.Int64 // when the last plan was finished, as Clock.Elapsed
 
 	mu               sync.Mutex
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -358,6 +358,7 @@
 // registryLoop polls the worker registry.
 func (o *Owner) registryLoop() {
 	next := int64(-1)
+	o.listingTimeout = storeTimeout
 	for o.ctx.Err() == nil {
 		var err error
 		next, err = o.readRegistry(next)
@@ -395,12 +396,17 @@
 }
 
 // readNewestRegistry applies the newest record of each worker and drops the workers
-// without one.
+// without one. A listing that has timed out gets more time at the next try.
 func (o *Owner) readNewestRegistry() (int64, error) {
-	all, end, err := ports.ReadNewest(o.ctx, o.cfg.Store, o.cfg.WorkerTopic, storeTimeout)
+	sent := o.cfg.Clock.Elapsed()
+	all, end, err := ports.ReadNewest(o.ctx, o.cfg.Store, o.cfg.WorkerTopic, o.listingTimeout)
 	if err != nil {
+		if o.cfg.Clock.Elapsed()-sent >= o.listingTimeout {
+			o.listingTimeout = min(2*o.listingTimeout, maxListingTimeout)
+		}
 		return -1, err
 	}
+	o.listingTimeout = storeTimeout
 	o.locked(func() {
 		present := map[string]bool{}
 		for _, r := range all {
