A dropped stop is sent as soon as the address of the worker is known

Seen: nothing by callers. A new owner drops the stops of runs of cancelled jobs until it has read the registry. The next report of the worker requests them again; but a worker that is silent then is called only each 1.9 s, while a stop that is being retried arrives within 0.65 s of the worker's return.

Cause: nothing but a report requested a dropped stop again.

Change: an entry that tells another address than the one known has the stops of the worker's runs requested again. A stop that was given up is no longer in flight when the planner learns of it: a request that followed at once was taken for a repeat and dropped.

--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -468,6 +468,7 @@
 	StopDraining     StopReason = "draining"     // the worker leaves before the run would end
 	StopMissing      StopReason = "missing"      // the worker does not list the run any more
 	StopListed       StopReason = "listed"       // the worker lists the run in spite of an earlier stop
+	StopAddress      StopReason = "address"      // the address of the worker has become known or has changed
 )
 
 // endReason returns the reason for which the runs of an ended job are stopped.
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -120,8 +120,12 @@
 	if info.Incarnation < incarnation {
 		info.Incarnation = incarnation
 	}
+	moved := info.Addr != w.Addr
 	w.WorkerInfo = info
 	w.registered = true
+	if moved {
+		p.repeatStops(w)
+	}
 	if !info.Draining {
 		w.vacated = false
 	} else if !w.vacated {
@@ -130,6 +134,18 @@
 	}
 }
 
+// repeatStops requests the stops of a worker again whose address has become known or has
+// changed. Its next report would do so too, but a silent worker is called less often than a
+// stop is retried.
+func (p *Planner) repeatStops(w *Worker) {
+	for ref, a := range w.allocations {
+		if a.stopping {
+			a.stopLost = true
+			p.stop(w, ref, a.run, StopAddress)
+		}
+	}
+}
+
 // vacate stops the runs on a draining worker that are not expected to end before it
 // leaves, with their gangs. They continue elsewhere from the checkpoint of the stop,
 // instead of ending without one when the worker leaves and being missed until its
--- a/internal/node/lead/orders_test.go
+++ b/internal/node/lead/orders_test.go
@@ -88,3 +88,58 @@
 		t.Fatal("the run was not stopped")
 	}
 }
+
+// silentWorker is a stoppable worker that answers nothing until it is awake.
+type silentWorker struct {
+	stoppable
+	awake  chan struct{}
+	called chan struct{} // heartbeats that got no answer
+}
+
+func (r *silentWorker) asleep() bool {
+	select {
+	case <-r.awake:
+		return false
+	default:
+		return true
+	}
+}
+
+func (r *silentWorker) Stop(ctx context.Context, o ports.StopOrder) error {
+	if r.asleep() {
+		<-ctx.Done()
+		return fault.New(fault.Timeout, fault.Unknown, "no answer")
+	}
+	return r.stoppable.Stop(ctx, o)
+}
+
+func (r *silentWorker) Heartbeat(ctx context.Context, q ports.HeartbeatRequest) (ports.HeartbeatResponse, error) {
+	if r.asleep() {
+		<-ctx.Done()
+		r.called <- struct{}{}
+		return ports.HeartbeatResponse{}, fault.New(fault.Timeout, fault.Unknown, "no answer")
+	}
+	return r.stoppable.Heartbeat(ctx, q)
+}
+
+// TestStopFollowsAddress guards against a dropped stop that waits for the next heartbeat to
+// a silent worker, although an entry has told the address: a stop is retried more often.
+func TestStopFollowsAddress(t *testing.T) {
+	const id = "00000000000000aa"
+	r := &silentWorker{stoppable: stoppable{stopped: make(chan struct{})}, awake: make(chan struct{}), called: make(chan struct{}, 100)}
+	r.running = []sched.Running{{Task: id + ".0.0.0", Run: 3}}
+	o := Start(ownerConfig(cancelledState(t, id), &slowRegistry{delay: 300 * time.Millisecond}, r, clock.System{}))
+	t.Cleanup(func() {
+		o.Stop("the test has ended")
+		<-o.Done()
+	})
+	for range 5 { // the pause between heartbeats has grown to maxHeartbeatRetryPause
+		<-r.called
+	}
+	close(r.awake)
+	select {
+	case <-r.stopped:
+	case <-time.After(stopTimeout + 2*stopRetryPause):
+		t.Fatal("the run was not stopped")
+	}
+}
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -166,7 +166,7 @@
 		if !ok {
 			o.cfg.Metrics.countStop(stopNotSent)
 			o.log.Info("stop not sent, the address of the worker is not known", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker)
-			o.locked(func() { o.planner.StopNotSent(s) })
+			o.stopNotSent(s)
 			return
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, stopTimeout)
@@ -183,6 +183,15 @@
 	}
 }
 
+// stopNotSent notes that a stop was given up. A request for another one may follow at once,
+// so the stop is no longer in flight by then.
+func (o *Owner) stopNotSent(s sched.Stop) {
+	o.locked(func() {
+		delete(o.stopsInFlight, keyOf(s))
+		o.planner.StopNotSent(s)
+	})
+}
+
 // handleStopResult processes the result of a stop and reports whether no retry is
 // needed. A stop without an answer, or refused for overload, must be retried. A
 // refusal because of a higher fencing token ends ownership. If another worker has the
@@ -197,7 +206,7 @@
 		o.stopIfFenced(err)
 		return true
 	case reason == ports.RefusedIncarnation:
-		o.locked(func() { o.planner.StopNotSent(s) })
+		o.stopNotSent(s)
 		return true
 	}
 	o.locked(func() { o.planner.StopConfirmed(s, o.now()) })
