Each entry of a draining worker is looked at for runs that have to move

Seen: nothing by callers; found by reading. The runs on a draining worker were compared with its time left once, at the first entry that says that it drains. If that entry did not say when the worker leaves, or a later one leaves less time than expected, nothing was stopped any more: the runs ended without a checkpoint when the worker left.

Change: each entry is looked at; the flag that it was done is gone.

--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -126,10 +126,7 @@
 	if moved {
 		p.repeatStops(w)
 	}
-	if !info.Draining {
-		w.vacated = false
-	} else if !w.vacated {
-		w.vacated = true
+	if info.Draining {
 		p.vacate(w, now)
 	}
 }
@@ -149,7 +146,8 @@
 // vacate stops the runs on a draining worker that are not expected to end before it
 // leaves, with their gangs. They continue elsewhere from the checkpoint of the stop,
 // instead of ending without one when the worker leaves and being missed until its
-// lease has expired. Long-running tasks stay until the end: they serve meanwhile.
+// lease has expired. Long-running tasks stay until the end: they serve meanwhile. Each entry
+// is looked at: the first may not say when the worker leaves.
 func (p *Planner) vacate(w *Worker, now Instant) {
 	if w.LeavesInMs <= 0 {
 		return
--- a/internal/cell/sched/worker.go
+++ b/internal/cell/sched/worker.go
@@ -53,7 +53,6 @@
 	storedSeq        int64       // sequence number of the last end that is stored
 	lingering        int         // runs in its last report whose job has ended
 	backoffUntilMs   int64       // no starts before this time
-	vacated          bool        // it drains, and the runs that would not end in time were stopped
 	reservation      reservation // reservation for a waiting gang
 	trial            Ref         // suspect that is tried alone on the worker; see crash.go
 
