A host registers again when the store shows another registration of it, or none

Seen: nothing by callers; found by reading. A process that stops deletes its registration. If that write is carried out late, after the next process at the address has registered, the store holds none, and the new process took itself for registered as long as it ran. Hosts that start later did not know it until it pinged them, which matters when all hosts start at once: the registrations decide who reads the records and claims.

--- a/internal/node/gate/membership.go
+++ b/internal/node/gate/membership.go
@@ -19,15 +19,17 @@
 )
 
 // hostsLoop registers this host in the store and polls the registrations of the
-// other hosts.
+// other hosts. It registers this host again if the store shows another entry or none: a
+// write of an earlier process at the same address may be carried out late.
 func (h *Host) hostsLoop(ctx context.Context) {
 	next, registered, loaded := int64(-1), false, false
 	for ctx.Err() == nil {
 		if !registered {
 			registered = h.registerSelf(ctx) == nil
 		}
-		n, err := h.readHosts(ctx, next)
+		n, replaced, err := h.readHosts(ctx, next)
 		next = n
+		registered = registered && !replaced
 		if err == nil && !loaded {
 			loaded = true
 			h.hostsLoadedOnce.Do(func() { close(h.hostsLoaded) }) // the loop may have been started again
@@ -46,9 +48,15 @@
 	CPUMillis int64 // CPU limit in millicores
 }
 
-// registerSelf writes this host's registration.
+// registerSelf writes this host's registration, unless it is shutting down.
 func (h *Host) registerSelf(ctx context.Context) error {
-	value, err := frame.Encode(hostEntry{Az: h.cfg.Az, CPUMillis: h.cfg.CPUMillis})
+	h.mu.Lock()
+	leaving := h.leaving
+	h.mu.Unlock()
+	if leaving {
+		return nil
+	}
+	value, err := frame.Encode(h.ownEntry())
 	if err != nil {
 		h.log.Error(err, "failed to encode the host registration")
 		return err
@@ -56,6 +64,9 @@
 	return h.writeHostEntry(ctx, value)
 }
 
+// ownEntry returns the registration of this host.
+func (h *Host) ownEntry() hostEntry { return hostEntry{Az: h.cfg.Az, CPUMillis: h.cfg.CPUMillis} }
+
 // writeHostEntry writes this host's registration. An empty value deletes it.
 func (h *Host) writeHostEntry(ctx context.Context, value []byte) error {
 	ctx, cancel := context.WithTimeout(ctx, hostsTimeout)
@@ -67,33 +78,41 @@
 }
 
 // readHosts applies the registrations from the offset next on, or the newest one
-// of each host if next is negative. It returns the next offset.
-func (h *Host) readHosts(ctx context.Context, next int64) (int64, error) {
+// of each host if next is negative. It returns the next offset, and whether the newest
+// registration of this host is not its own.
+func (h *Host) readHosts(ctx context.Context, next int64) (int64, bool, error) {
 	var records []ports.Record
+	replaced := next < 0
 	if next >= 0 {
 		rctx, cancel := context.WithTimeout(ctx, hostsTimeout)
 		page, err := h.store.Read(rctx, ports.ReadRequest{Topic: h.cfg.HostTopic, From: next})
 		cancel()
 		var gone *ports.GoneError
 		if err != nil && !errors.As(err, &gone) {
-			return next, err
+			return next, false, err
 		}
 		if err == nil {
 			records = page.Records
 			next += int64(len(records))
 		} else {
-			next = -1
+			next, replaced = -1, true
 		}
 	}
 	if next < 0 {
 		all, end, err := ports.ReadNewest(ctx, h.store, h.cfg.HostTopic, hostsTimeout)
 		if err != nil {
-			return -1, err
+			return -1, false, err
 		}
 		records, next = all, end
 	}
 	h.applyHosts(records)
-	return next, nil
+	for _, r := range records {
+		if r.Key == h.addr {
+			e, err := frame.Decode[hostEntry](r.Value)
+			replaced = err != nil || e != h.ownEntry()
+		}
+	}
+	return next, replaced, nil
 }
 
 // applyHosts adds peers for new registrations and removes those whose registration
--- /dev/null
+++ b/internal/node/gate/orders_test.go
@@ -0,0 +1,42 @@
+package gate
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"lagooncourse/internal/base/frame"
+	"lagooncourse/internal/base/polls"
+	"lagooncourse/internal/plat/fakes"
+	"lagooncourse/internal/plat/ports"
+)
+
+// TestRegistrationIsRepeated guards against a host that new hosts do not find: an earlier
+// process at its address deleted its own registration, or wrote it, and the store carried
+// that out after this host had registered.
+func TestRegistrationIsRepeated(t *testing.T) {
+	store := fakes.NewStore(1).For("a")
+	h := hostWithoutListeners(store)
+	h.cfg.HostTopic, h.hostsLoaded = "hosts", make(chan struct{})
+	registered := func() bool {
+		all, _, err := ports.ReadNewest(t.Context(), store, "hosts", time.Second)
+		assert.NilError(t, err)
+		for _, r := range all {
+			e, err := frame.Decode[hostEntry](r.Value)
+			if r.Key == h.addr && err == nil && e.CPUMillis == h.cfg.CPUMillis {
+				return true
+			}
+		}
+		return false
+	}
+	go h.hostsLoop(t.Context())
+	polls.Until(t, 5*time.Second, "the host is registered", registered)
+	old, err := frame.Encode(hostEntry{CPUMillis: 1})
+	assert.NilError(t, err)
+	for _, late := range [][]byte{nil, old} {
+		_, err := store.Append(t.Context(), ports.AppendRequest{Topic: "hosts", Records: []ports.Record{{Key: h.addr, Value: late}}})
+		assert.NilError(t, err)
+		polls.Until(t, 2*hostsPollInterval, "the host is registered again", registered)
+	}
+}
