The owner gets the newest policy, whoever reads it first

Seen: nothing by callers; found by reading. Two readers of the operators' topic, the loop and an answer of a peer, can apply two changes at once. Each then passed the policy that it had read to the owner; in the opposite order, the owner kept the older one, with a zone that is evacuated still in use, until the next change.

Change: the newest policy is read and passed under one lock.

--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -120,6 +120,7 @@
 	endRequests     context.CancelFunc
 	panics          logs.Limiter // of the log lines about handlers that panicked
 	disconnects     logs.Limiter // of the log lines about clients that disconnected before the response
+	policyMu        sync.Mutex   // held while a policy is passed to the owner
 
 	mu             sync.Mutex
 	peers          map[string]*peer
@@ -335,11 +336,18 @@
 
 // policyChanged passes a new configuration to the owner if this host is the owner.
 func (h *Host) policyChanged() {
-	v := h.config.policy()
 	h.mu.Lock()
 	o := h.localOwner
 	h.mu.Unlock()
 	if o != nil {
-		o.SetPolicy(v)
+		h.passPolicy(o.SetPolicy)
 	}
 }
+
+// passPolicy passes the newest policy to set. The last of several calls at once passes the
+// newest one.
+func (h *Host) passPolicy(set func(sched.Policy)) {
+	h.policyMu.Lock()
+	defer h.policyMu.Unlock()
+	set(h.config.policy())
+}
--- a/internal/node/gate/orders_test.go
+++ b/internal/node/gate/orders_test.go
@@ -1,6 +1,9 @@
 package gate
 
 import (
+	"fmt"
+	"runtime"
+	"sync"
 	"testing"
 	"time"
 
@@ -8,6 +11,7 @@
 
 	"lagooncourse/internal/base/frame"
 	"lagooncourse/internal/base/polls"
+	"lagooncourse/internal/cell/sched"
 	"lagooncourse/internal/plat/fakes"
 	"lagooncourse/internal/plat/ports"
 )
@@ -40,3 +44,30 @@
 		polls.Until(t, 2*hostsPollInterval, "the host is registered again", registered)
 	}
 }
+
+// TestNewestPolicyIsPassed guards against an owner that keeps an older policy until the next
+// change: two readers of the configuration passed theirs on in the opposite order.
+func TestNewestPolicyIsPassed(t *testing.T) {
+	h := hostWithoutListeners(fakes.NewStore(1).For("a"))
+	var mu sync.Mutex
+	var owner sched.Policy
+	set := func(v sched.Policy) {
+		runtime.Gosched()
+		mu.Lock()
+		defer mu.Unlock()
+		owner = v
+	}
+	for round := range 2_000 {
+		var g sync.WaitGroup
+		for i := range 4 {
+			g.Go(func() {
+				h.config.mu.Lock()
+				h.config.closedAzs = map[string]bool{fmt.Sprint(round, i): true}
+				h.config.mu.Unlock()
+				h.passPolicy(set)
+			})
+		}
+		g.Wait()
+		assert.DeepEqual(t, owner.ClosedAzs, h.config.policy().ClosedAzs)
+	}
+}
