A host that was asked to claim while it was the owner does not claim later

Seen: nothing by callers; found by reading. A request to take over that reached a host that was the owner already was kept, and obeyed when another host had replaced it: it took ownership back at once, and the jobs changed owners twice.

Change: a running owner ignores the request, and a claim that succeeds has answered it.

--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -354,7 +354,7 @@
 		Clock: h.clock, Logger: h.cfg.Logger, Metrics: h.leadMetrics, RetentionMs: h.cfg.RetentionMs, MaxLeaseMs: h.cfg.MaxLeaseMs,
 		RecordBytes: h.cfg.RecordBytes, AppendBytes: h.cfg.AppendBytes,
 	})
-	h.localOwner = o
+	h.localOwner, h.claimRequested = o, false
 	h.ownerSince = h.clock.Now()
 	h.setOwner(c.Epoch, h.addr, h.ownerSince)
 	h.ownerContacted = true
--- a/internal/node/gate/membership.go
+++ b/internal/node/gate/membership.go
@@ -216,7 +216,7 @@
 	h.processPing(context.WithoutCancel(ctx), msg)
 	if msg.Claim {
 		h.mu.Lock()
-		h.claimRequested = true
+		h.claimRequested = h.localOwner == nil || h.owner.addr != h.addr
 		h.mu.Unlock()
 	}
 	return h.newPing(), nil
--- a/internal/node/gate/orders_test.go
+++ b/internal/node/gate/orders_test.go
@@ -71,3 +71,24 @@
 		assert.DeepEqual(t, owner.ClosedAzs, h.config.policy().ClosedAzs)
 	}
 }
+
+// TestLateHandoverIsIgnored guards against a host that takes ownership back from its
+// successor: it had been asked to claim while it was the owner already.
+func TestLateHandoverIsIgnored(t *testing.T) {
+	h := hostWithoutListeners(fakes.NewStore(1).For("a"))
+	h.claimRequested = true
+	h.tryClaim(t.Context())
+	o := h.localOwner
+	assert.Assert(t, o != nil)
+	_, err := h.servePing(t.Context(), ping{Addr: "b", Claim: true})
+	assert.NilError(t, err)
+	_, err = h.servePing(t.Context(), ping{Addr: "b", Epoch: h.owner.epoch + 1, Owner: "b"})
+	assert.NilError(t, err)
+	<-o.Done()
+	polls.Until(t, time.Second, "the host knows that it does not own the jobs", func() bool {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		return h.localOwner == nil
+	})
+	assert.Assert(t, !h.shouldClaimNow())
+}
