The test of planned work fails when its process of hosts has ended

Seen: once, in a run of all tests of gate, TestPlannedWorkCutsNoRequest waited 9 minutes for a host to come up, until the time limit of the package; the output of the process was lost. It passed alone before and after.

Cause of the wait: the test waited for lines of a process that had ended. Why that one ended, or whether it did, is not known.

Change: the test fails at once then, and shows what the process has written. No check is weaker.

--- a/internal/node/gate/planned_test.go
+++ b/internal/node/gate/planned_test.go
@@ -319,8 +319,16 @@
 			}
 		}
 	}()
+	awaitUp := func() {
+		t.Helper()
+		select {
+		case <-ups:
+		case <-ended: // its output has been logged
+			t.Fatal("the process of the hosts has ended")
+		}
+	}
 	for range plannedHosts {
-		<-ups
+		awaitUp()
 	}
 	for i := range keptConns*plannedHosts + freshClients {
 		p.clients.Add(1)
@@ -358,7 +366,7 @@
 		}
 	}
 	for ; up < plannedHosts; up++ {
-		<-ups
+		awaitUp()
 	}
 	close(p.done)
 	p.clients.Wait()
