A job is not accepted after its cancellation was answered with 410

A DELETE of a job that no host had stored yet was answered with 410. Its submission, held up on its way or repeated by a balancer, was then accepted with 200 and its tasks ran.

Cause: a denied cancellation left no trace, at this owner or the next.

Such a job is refused with 409 and the outcome notRun, by later owners too. The answer takes one more append.

--- a/internal/cell/sched/batch.go
+++ b/internal/cell/sched/batch.go
@@ -136,7 +136,7 @@
 }
 
 // TakeBatch returns a batch of the records that have to be stored: accepted jobs,
-// then progress, then deletions of jobs whose retention has ended.
+// then progress, then denials, then deletions of jobs whose retention has ended.
 func (p *Planner) TakeBatch(now Instant) (*Batch, error) {
 	b := &Batch{verdicts: map[string]Verdict{}, endMarks: map[string]endMark{}}
 	for len(p.newSpecs) > 0 {
@@ -165,7 +165,10 @@
 		}
 		delete(p.dirty, id)
 	}
-	for len(p.ended) > 0 && now.Ms-p.ended[0].atMs > p.cfg.RetentionMs+RetentionMarginMs && b.fits(p.cfg) {
+	if complete, err := p.addDenials(b, now); err != nil || !complete {
+		return b, err
+	}
+	for len(p.ended) > 0 && p.retentionOver(p.ended[0], now) && b.fits(p.cfg) {
 		id := p.ended[0].id
 		p.ended = p.ended[1:]
 		j := p.state.Jobs[id]
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -52,6 +52,9 @@
 	WallMs int64 // wall clock, in ms since 1970
 }
 
+// ofWall returns the monotonic time of a wall clock time that has passed.
+func (t Instant) ofWall(ms int64) int64 { return t.Ms - max(t.WallMs-ms, 0) }
+
 // Limit is the quota and the job rate of a team.
 type Limit struct {
 	Max    jobs.Size // 0 in a dimension means no limit
@@ -142,6 +145,9 @@
 	runsRecorded   int                     // by the estimator
 	buckets        map[string]*tokenBucket // by team
 	ended          []endedJob              // by time of their end
+	denied         map[string]bool         // jobs of denials, see denial.go
+	denials        []endedJob              // by time
+	newDenials     []string                // jobs of denials that are not in a batch yet
 	endings        []Ending                // since the last TakeEndings
 	crashes        []Crash                 // not taken by TakeCrashes yet
 	fullJobs       []string                // not taken by TakeFullJobs yet
@@ -165,7 +171,7 @@
 		steps: map[stepKey]*stepInstance{}, waiting: map[stepKey]*stepInstance{}, dirty: map[string]bool{},
 		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{MaxQuarantineMs: maxQuarantineMs}), allowedShares: map[string]*allowedShare{},
 		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]workerLoss{}, setAside: map[string]bool{},
-		cancels: map[string]*followedCancel{},
+		cancels: map[string]*followedCancel{}, denied: map[string]bool{},
 	}
 	for id, j := range cfg.State.Jobs {
 		p.storedJobs[id] = true
@@ -173,8 +179,7 @@
 		p.adopt(j, now)
 		if j.Progress.Verdict != Open {
 			p.stopJob(j, StopAdopted)
-			// EndMs is on the wall clock; convert it to the monotonic clock.
-			endMs := now.Ms - max(now.WallMs-j.Progress.EndMs, 0)
+			endMs := now.ofWall(j.Progress.EndMs)
 			p.ended = append(p.ended, endedJob{id, endMs})
 			if j.Progress.Verdict == Cancelled {
 				p.followCancel(j, endMs)
@@ -186,7 +191,15 @@
 		}
 		p.addSteps(j, now)
 	}
-	sort.Slice(p.ended, func(a, b int) bool { return p.ended[a].atMs < p.ended[b].atMs })
+	for id, progress := range cfg.State.earlyProgress {
+		if progress.isDenial() {
+			p.denied[id] = true
+			p.denials = append(p.denials, endedJob{id, now.ofWall(progress.EndMs)})
+		}
+	}
+	for _, list := range [][]endedJob{p.ended, p.denials} {
+		sort.Slice(list, func(a, b int) bool { return list[a].atMs < list[b].atMs })
+	}
 	return p
 }
 
@@ -510,10 +523,10 @@
 	return si.queue
 }
 
-// Accept adds a job and reports whether it is new. A job whose ID is in use is
-// ignored.
+// Accept adds a job and reports whether it is new. A job whose ID is in use, or whose
+// cancellation was answered before, is ignored.
 func (p *Planner) Accept(spec Spec, now Instant) (added bool) {
-	if p.state.Jobs[spec.ID] != nil {
+	if p.state.Jobs[spec.ID] != nil || p.denied[spec.ID] {
 		return false
 	}
 	spec.Excess = p.exceedsRate(spec.Team, now)
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -29,6 +29,7 @@
 //	    [maxperworker=N] [label=LABEL] [datarack=RACK] [longrunning=1] [samerack=1]
 //	    [times=N first=MS every=MS]
 //	cancel JOB
+//	deny JOB        a cancellation of a job that does not exist
 //	withdraw JOB
 //	takeover
 //
@@ -303,6 +304,8 @@
 		s.list(f[1], f[2:])
 	case "cancel":
 		return fmt.Sprint(s.p.Cancel(f[1], s.now))
+	case "deny":
+		s.p.Deny(f[1], s.now)
 	case "withdraw":
 		return fmt.Sprint(s.p.Withdraw(f[1]))
 	case "stops":
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -314,6 +314,9 @@
 	if _, known := o.planner.Status(s.spec.ID); known {
 		return false, nil
 	}
+	if o.planner.Denied(s.spec.ID) {
+		return false, fault.New(fault.Conflict, fault.NotRun, "job %q was cancelled before it was submitted", s.spec.ID)
+	}
 	if err := o.planner.CheckSize(s.spec); err != nil {
 		return false, err
 	}
@@ -399,15 +402,13 @@
 }
 
 // Cancel cancels a job and returns once the cancellation is stored. It returns a
-// NotFound error if the job does not exist.
+// NotFound error if the job does not exist, once it is stored that the job must not be
+// accepted later.
 func (o *Owner) Cancel(ctx context.Context, id string) error {
 	if !o.exists(id) {
 		if err := o.awaitRead(ctx, answerDenial); err != nil {
 			return err
 		}
-		if !o.exists(id) {
-			return o.errNoJob(id)
-		}
 	}
 	c := &cancellation{id: id, done: make(chan error, 1)}
 	o.mu.Lock()
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -167,7 +167,10 @@
 	confirm := o.takeConfirmations()
 	for _, c := range w.cancellations {
 		w.jobMissing[c] = !o.planner.Cancel(c.id, now)
-		confirm = confirm || w.jobMissing[c]
+		if w.jobMissing[c] {
+			o.planner.Deny(c.id, now)
+			confirm = true
+		}
 	}
 	o.planLocked()
 	w.plannedStarts, o.plannedStarts = o.plannedStarts, nil
@@ -285,14 +288,14 @@
 		s.done <- nil
 	}
 	for _, c := range w.cancellations {
-		if w.jobMissing[c] {
-			c.done <- o.errNoJob(c.id)
-			continue
-		}
 		if w.refused[c.id] {
 			c.done <- errUnconfirmed()
 			continue
 		}
+		if w.jobMissing[c] {
+			c.done <- o.errNoJob(c.id)
+			continue
+		}
 		o.log.Info("cancelled job", "job", c.id, "offset", o.offset)
 		c.done <- nil
 	}
