Stand-ins: slow listings of one topic, and a history of the runs of a fleet

A test of whole processes has to slow the listing of the registry alone, and to know for each moment which runs were at work, also those that have ended since.

Change: StoreFaults.ListingDelay; SimFleet.History returns start, end and worker of each run, and whether its start was a late order. Nothing else changes.

--- a/internal/plat/fakes/simfleet.go
+++ b/internal/plat/fakes/simfleet.go
@@ -33,6 +33,7 @@
 	ackedTasks map[string]bool // tasks whose successful end the scheduler has acknowledged
 	doneTasks  map[string]bool // tasks that have ended successfully
 	starts     int
+	history    []*RunRecord
 
 	startedJobs map[string]bool
 	deadly      map[string]DeadlyTask // by task
@@ -41,6 +42,16 @@
 	nextID      int                   // number of the next worker that returns with a new ID
 }
 
+// RunRecord is a run as its worker saw it. Times are those that the callers passed.
+type RunRecord struct {
+	Task    string
+	Run     int
+	Worker  string
+	StartMs int64
+	EndMs   int64 // 0 while it is active
+	Late    bool  // its start was a late order
+}
+
 // DeadlyTask describes a task that crashes each worker that starts it.
 type DeadlyTask struct {
 	AfterMs int64 // from the start to the crash
@@ -137,6 +148,7 @@
 	crashMs int64  // when the run crashes its worker; 0 if it does not
 	gang    string // gang ID: step and run number; empty if the task is in no gang
 	members int    // size of the gang
+	record  *RunRecord
 }
 
 // lateOrder is an order, either a start or a stop, that is carried out at atMs.
@@ -296,6 +308,7 @@
 			continue // already ended with another member of its gang
 		}
 		delete(w.runs, task)
+		r.record.EndMs = f.nowMs
 		if r.gang != "" {
 			f.finishGang(r.gang, sched.EndLost)
 		}
@@ -366,6 +379,16 @@
 	return list
 }
 
+// History returns all runs so far in the order of their starts.
+func (f *SimFleet) History() (list []RunRecord) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, r := range f.history {
+		list = append(list, *r)
+	}
+	return list
+}
+
 // Started reports whether any task of the job has started.
 func (f *SimFleet) Started(job string) bool {
 	f.mu.Lock()
@@ -550,6 +573,7 @@
 // finish ends a run and the other members of its gang.
 func (f *SimFleet) finish(w *simWorker, task string, r *simRun, reason sched.EndReason) {
 	delete(w.runs, task)
+	r.record.EndMs = f.nowMs
 	w.lastSeq++
 	w.ended = append(w.ended, sched.Finished{Seq: w.lastSeq, Task: task, Run: r.number, Reason: reason})
 	w.endedRun[task] = max(w.endedRun[task], r.number)
@@ -649,6 +673,8 @@
 		r.gang, r.members = fmt.Sprintf("%s/%d", ref.StepName(), o.Run), step.Count
 	}
 	r.crashMs = f.startDeadly(o.Task, nowMs)
+	r.record = &RunRecord{Task: o.Task, Run: o.Run, Worker: o.Peer.ID, StartMs: nowMs, Late: sentMs < nowMs}
+	f.history = append(f.history, r.record)
 	w.runs[o.Task] = r
 	return nil
 }
--- a/internal/plat/fakes/store.go
+++ b/internal/plat/fakes/store.go
@@ -29,6 +29,8 @@
 	Lost   float64         // probability, 0 to 1, that an append takes effect but is not answered
 	Delay  time.Duration   // delay of each call
 	Silent bool            // calls that Down or Away would refuse get no answer; they have no effect
+
+	ListingDelay map[string]time.Duration // additional delay of the listings of a topic
 }
 
 type topic struct {
@@ -143,14 +145,8 @@
 	s.calls++
 	f := s.faults
 	s.mu.Unlock()
-	if f.Delay > 0 {
-		t := time.NewTimer(f.Delay)
-		defer t.Stop()
-		select {
-		case <-ctx.Done():
-			return fault.New(fault.Timeout, fault.NotRun, "deadline exceeded before the delayed store answered")
-		case <-t.C:
-		}
+	if err := wait(ctx, f.Delay); err != nil {
+		return err
 	}
 	if !f.Down && !f.Away[c.caller] {
 		return nil
@@ -162,6 +158,21 @@
 	return &ports.RefusedError{Reason: ports.RefusedBusy, Status: 503}
 }
 
+// wait returns after a delay, or an error if ctx is done before.
+func wait(ctx context.Context, delay time.Duration) error {
+	if delay <= 0 {
+		return nil
+	}
+	t := time.NewTimer(delay)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return fault.New(fault.Timeout, fault.NotRun, "deadline exceeded before the delayed store answered")
+	case <-t.C:
+		return nil
+	}
+}
+
 // Append appends records; see ports.Store.
 func (c *storeClient) Append(ctx context.Context, r ports.AppendRequest) (int64, error) {
 	if err := c.applyFaults(ctx); err != nil {
@@ -259,6 +270,12 @@
 	}
 	s := c.store
 	s.mu.Lock()
+	delay := s.faults.ListingDelay[name]
+	s.mu.Unlock()
+	if err := wait(ctx, delay); err != nil {
+		return ports.Newest{}, err
+	}
+	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(name)
 	t.listings++
