Stand-ins: stops that are confirmed only, orders later than a restart, missing registry entries

Three faults of workers that a test of whole processes could not bring about: a first stop that is confirmed and not carried out, a late order that reaches the next incarnation, and a registry entry that is not written while the worker runs.

Change: SimFleetFaults.DeafOnce and .Keep, SimFleet.SetUnlisted. All are off by default.

--- a/internal/plat/fakes/simfleet.go
+++ b/internal/plat/fakes/simfleet.go
@@ -70,6 +70,9 @@
 
 	Deaf  float64 // a stop of an active run is confirmed and not carried out
 	Moved float64 // an order reaches another worker, which refuses it
+
+	DeafOnce bool // the first stop of each run is confirmed and not carried out
+	Keep     bool // late orders reach the next incarnation of a worker that has restarted
 }
 
 // SimFleetConfig is the configuration of a SimFleet.
@@ -95,6 +98,7 @@
 	endedRun    map[string]int     // by task: highest run number that has ended or was stopped
 	seqAtExpiry int64              // lastSeq when the lease last expired; tasks of runs up to it may be rerun
 	unreachable bool               // calls to the worker fail
+	unlisted    bool               // it writes no registry entry
 	down        bool               // the worker is not running
 	backAtMs    int64              // when a crashed worker is back
 	newID       bool               // it is back with a new ID
@@ -149,6 +153,7 @@
 	gang    string // gang ID: step and run number; empty if the task is in no gang
 	members int    // size of the gang
 	record  *RunRecord
+	deaf    bool // a stop was confirmed and not carried out
 }
 
 // lateOrder is an order, either a start or a stop, that is carried out at atMs.
@@ -238,7 +243,7 @@
 	defer f.mu.Unlock()
 	var list []sched.WorkerInfo
 	for _, w := range f.workers {
-		if !w.down || f.nowMs < w.silentMs {
+		if !w.unlisted && (!w.down || f.nowMs < w.silentMs) {
 			list = append(list, w.info)
 		}
 	}
@@ -254,6 +259,13 @@
 	f.workers[id].unreachable = on
 }
 
+// SetUnlisted makes a worker write no registry entry (on) or write it again (!on).
+func (f *SimFleet) SetUnlisted(id string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].unlisted = on
+}
+
 // SetCapacity changes the capacity of a worker. Its runs go on.
 func (f *SimFleet) SetCapacity(id string, capacity jobs.Size, nowMs int64) {
 	f.mu.Lock()
@@ -316,7 +328,7 @@
 	w.runs, w.ended, w.endedRun = map[string]*simRun{}, nil, map[string]int{}
 	rest := f.late[:0]
 	for _, o := range f.late {
-		if o.start != nil && o.start.Peer.ID == id || o.stop != nil && o.stop.Peer.ID == id {
+		if !f.faults.Keep && (o.start != nil && o.start.Peer.ID == id || o.stop != nil && o.stop.Peer.ID == id) {
 			continue // the connection was closed when the process ended
 		}
 		rest = append(rest, o)
@@ -686,6 +698,10 @@
 		return err
 	}
 	if r := w.runs[o.Task]; r != nil && r.number <= o.Run {
+		if f.faults.DeafOnce && !r.deaf {
+			r.deaf = true
+			return nil
+		}
 		f.finish(w, o.Task, r, sched.EndStopped)
 	}
 	w.endedRun[o.Task] = max(w.endedRun[o.Task], o.Run)
