Tests pick ports that are free on all loopback addresses of hosts

Seen: in 2 of 8 random plays beside other test processes, a host ended at its start: listen tcp 127.0.0.4:17356: bind: address already in use. The soak reports that as a finding.

Cause: the hosts of the soak listen on 127.0.0.2 and up, but freeAddr tried 127.0.0.1 only.

Change: a port is free if it is so on 127.0.0.1 to 127.0.0.16.

--- a/cmd/lagooncourse/cluster_test.go
+++ b/cmd/lagooncourse/cluster_test.go
@@ -77,21 +77,34 @@
 
 var nextPort = os.Getpid() * 97 % portRange
 
-// freeAddr returns a loopback address with a free port.
+// freeAddr returns a loopback address with a port that is free on all loopback addresses
+// that hosts of tests listen on, also those of another test process.
 func freeAddr(t *testing.T) string {
 	t.Helper()
 	for range portRange {
 		nextPort = (nextPort + 1) % portRange
-		addr := fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort)
-		if ln, err := net.Listen("tcp", addr); err == nil {
-			ln.Close()
-			return addr
+		if port := firstPort + nextPort; portIsFree(port) {
+			return fmt.Sprintf("127.0.0.1:%d", port)
 		}
 	}
 	t.Fatal("no free port")
 	return ""
 }
 
+// maxLoopback is the last byte of the highest loopback address that a host listens on.
+const maxLoopback = 16
+
+func portIsFree(port int) bool {
+	for i := 1; i <= maxLoopback; i++ {
+		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", i, port))
+		if err != nil {
+			return false
+		}
+		ln.Close()
+	}
+	return true
+}
+
 // startCluster starts all roles and waits until every entry host is ready.
 func startCluster(t *testing.T, cfg clusterConfig) *cluster {
 	t.Helper()
