A test process keeps a block of ports to itself

Seen: with two test processes at once, hosts ended at their start, or after a restart, since their address was in use; cases of both failed with findings of the soak.

Cause: the ports of a process began at 97 times its ID, so two processes shared ports after 97 of them; a port is tried long before its host listens, and is free while a host is down.

Change: a process keeps the first port of a block of 400 in use and takes only ports of it.

--- a/cmd/lagooncourse/cluster_test.go
+++ b/cmd/lagooncourse/cluster_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -69,21 +70,44 @@
 var azs = []string{"a", "b", "c"}
 
 // The ports of the roles lie below the system's ephemeral port range, so that no
-// other listener or connection takes a port between its selection and its use.
+// other listener or connection takes a port between its selection and its use. Each test
+// process has a block of them, whose first port it keeps in use.
 const (
-	firstPort = 10_000
-	portRange = 20_000
+	firstPort  = 10_000
+	portRange  = 20_000
+	portBlock  = 400
+	maxHostsIP = 16 // last byte of the highest loopback address that hosts listen on
 )
 
-var nextPort = os.Getpid() * 97 % portRange
+// ports is the block of this process.
+var ports struct {
+	once  sync.Once
+	guard net.Listener
+	first int
+	next  int // offset in the block
+}
+
+// takeBlock finds a block that no other test process has.
+func takeBlock() {
+	blocks := portRange / portBlock
+	for i := range blocks {
+		first := firstPort + (os.Getpid()+i)%blocks*portBlock
+		if ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first)); err == nil {
+			ports.guard, ports.first = ln, first
+			return
+		}
+	}
+}
 
-// freeAddr returns a loopback address with a port that is free on all loopback addresses
-// that hosts of tests listen on, also those of another test process.
+// freeAddr returns a loopback address with a port that is free on all addresses that hosts
+// listen on.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	for range portRange {
-		nextPort = (nextPort + 1) % portRange
-		if port := firstPort + nextPort; portIsFree(port) {
+	ports.once.Do(takeBlock)
+	assert.Assert(t, ports.guard != nil, "no block of ports is free")
+	for range portBlock {
+		ports.next = ports.next%(portBlock-1) + 1
+		if port := ports.first + ports.next; portIsFree(port) {
 			return fmt.Sprintf("127.0.0.1:%d", port)
 		}
 	}
@@ -91,11 +115,8 @@
 	return ""
 }
 
-// maxLoopback is the last byte of the highest loopback address that a host listens on.
-const maxLoopback = 16
-
 func portIsFree(port int) bool {
-	for i := 1; i <= maxLoopback; i++ {
+	for i := 1; i <= maxHostsIP; i++ {
 		ln, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", i, port))
 		if err != nil {
 			return false
