Whole processes: cancelled jobs on draining workers of an evacuated zone

A graceful shutdown of a worker and an evacuation excuse no run that goes on. The case plays both beside the loss of the owner. The plays also say when the last run ended.

--- a/cmd/lagooncourse/cancel_test.go
+++ b/cmd/lagooncourse/cancel_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"maps"
+	"math"
 	"net/http"
 	"os"
 	"regexp"
@@ -126,6 +127,16 @@
 				x.setPartition(false)
 			}
 		}},
+		cancelCase{name: "workers drain in an evacuated zone", cancel: func(p *cancelPlay) {
+			p.store.Put(platform.TopicOperator, "evacuate/x", []byte("{}"))
+			for i, w := range p.fleet.Entries() {
+				if slices.Contains(p.silent, w.ID) {
+					w.Draining = true
+					p.fleet.SetUnlisted(w.ID, true)
+					p.store.Put(platform.TopicWorkers, w.ID, mock.Entry(w, p.execs[i].Addr()))
+				}
+			}
+		}},
 		cancelCase{name: "cancelled at a replaced owner", cancel: func(p *cancelPlay) {
 			replaced := p.owner
 			replaced.signal(syscall.SIGSTOP, false)
@@ -364,10 +375,14 @@
 // check checks that no run of a cancelled job was started or at work after its bound. It
 // returns the number of runs on silent workers, and of those that were started late.
 func (p *cancelPlay) check() (silent, late int) {
-	total := 0
+	total, lastMs := 0, int64(math.MinInt64)
 	p.eachRun(func(i int, r fakes.RunRecord) {
 		since := p.quietSinceMs(i, r)
-		if end := since + soakCancel.Milliseconds(); r.EndMs == 0 || r.EndMs > end {
+		end := since + soakCancel.Milliseconds()
+		if r.EndMs > 0 {
+			lastMs = max(lastMs, r.EndMs-since)
+		}
+		if r.EndMs == 0 || r.EndMs > end {
 			p.t.Errorf("UNASKED: run %d of %s on %s is at work at %d ms, %s after the cancelling and calm", r.Run, r.Task, r.Worker, end, soakCancel)
 		}
 		if !r.Late && r.StartMs > since+cancelStartTime.Milliseconds() {
@@ -386,6 +401,6 @@
 	assert.Check(p.t, len(p.findings) == 0, "%q", p.findings)
 	violations := p.fleet.Violations()
 	assert.Check(p.t, len(violations) == 0, "%q", violations)
-	p.t.Logf("%d runs, %d of them on silent workers, %d started late", total, silent, late)
+	p.t.Logf("%d runs, %d of them on silent workers, %d started late, the last ended at %d ms from the cancelling and calm", total, silent, late, lastMs)
 	return silent, late
 }
