Stand-ins: the newest records of a topic whatever the faults

Seen: a random play hung for 7 minutes. It asked the stand-in for the present owner by a call that the store, silent at that moment, never answers.

Change: Store.Newest reads the records without the injected faults.

--- a/internal/plat/fakes/store.go
+++ b/internal/plat/fakes/store.go
@@ -84,6 +84,16 @@
 	return s.topic(name).listings
 }
 
+// Newest returns the newest record of every key of a topic, whatever the faults.
+func (s *Store) Newest(name string) (list []ports.Record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.topic(name).newest {
+		list = append(list, r)
+	}
+	return list
+}
+
 // Compact expires all records of a topic. Newest still returns the newest record
 // of each key.
 func (s *Store) Compact(name string) {
