--- a/cmd/lagooncourse/cancel_test.go
+++ b/cmd/lagooncourse/cancel_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"maps"
 	"math"
@@ -36,7 +35,6 @@
 	cancelListing   = 300 * time.Millisecond
 	cancelStops     = 200 * time.Millisecond // until the stops of the cancelled jobs are sent
 	cancelSilence   = 4 * time.Second        // in which late orders are carried out
-	cancelLateMs    = 12_000                 // from the last order until all late orders are carried out
 	cancelFreeze    = 300 * time.Millisecond // for which a replaced owner does not read requests
 	cancelSetUp     = 30 * time.Second       // until all jobs run
 )
@@ -51,9 +49,8 @@
 	proxies  []*proxy      // between each host and the store
 	cancelAt []*soakHost   // to which the cancelling is sent; others than the owner if nil
 
-	ackedMs     [cancelJobs]int64 // when the cancelling was acknowledged
-	calmMs      int64             // contact time after the last fault
-	lastOrderMs int64             // when the last late order is carried out
+	ackedMs [cancelJobs]int64 // when the cancelling was acknowledged
+	calmMs  int64             // contact time after the last fault
 }
 
 func cancelJobID(i int) string { return fmt.Sprintf("%016x", i+1) }
@@ -174,7 +171,6 @@
 		p.fleet.SetFaults(fakes.SimFleetFaults{Keep: true}) // stops are carried out at once
 	}, lose: func(p *cancelPlay) {
 		time.Sleep(cancelStops)
-		p.lastOrderMs = p.nowMs() + cancelLateMs
 		p.silent = p.fleet.IDs()
 		for i, x := range p.execs {
 			p.fleet.SetUnreachable(p.silent[i], true)
@@ -249,7 +245,7 @@
 	}
 	run(c.calm)
 	p.calmMs = p.nowMs() + soakContact.Milliseconds()
-	for p.nowMs() <= max(p.latestEndMs(), p.lastOrderMs) {
+	for p.fleet.LateStarts() > 0 || p.nowMs() <= p.latestEndMs() {
 		time.Sleep(100 * time.Millisecond)
 	}
 	silent, late := p.check()
@@ -332,10 +328,8 @@
 
 // claimer returns the host that has claimed the jobs last.
 func (p *cancelPlay) claimer() *soakHost {
-	n, err := p.store.For("test").Newest(context.Background(), platform.KeyedTopic("jobs"), "")
-	assert.NilError(p.t, err)
 	s := sched.NewState()
-	for _, r := range n.Records {
+	for _, r := range p.store.Newest(platform.KeyedTopic("jobs")) {
 		assert.NilError(p.t, s.Apply(r.Key, r.Value))
 	}
 	for i, h := range p.hosts {
