Stand-ins: a start that no client has asked for is a violation

A start of an unknown job made the stand-in panic, which the HTTP server of a test of whole processes only logs; one with another payload was carried out. Both break UNASKED and were not found.

Change: both are recorded as violations and refused.

Result: the tests of sched and lead, which use the stand-in, pass.

--- a/internal/plat/fakes/simfleet.go
+++ b/internal/plat/fakes/simfleet.go
@@ -684,8 +684,12 @@
 	if o.Run <= w.endedRun[o.Task] {
 		return refused(ports.RefusedStaleRun)
 	}
-	ref, _ := sched.ParseRef(o.Task)
+	ref, ok := sched.ParseRef(o.Task)
 	spec := f.specs[ref.Job]
+	if !ok || ref.Step >= len(spec.Steps) || ref.Index >= spec.Steps[ref.Step].Count || o.Payload != spec.Payload {
+		f.addViolation("unasked: %s run %d starts on %s with payload %q", o.Task, o.Run, o.Peer.ID, o.Payload)
+		return refused(ports.RefusedInvalid)
+	}
 	step := spec.Steps[ref.Step]
 	f.checkStart(w, o, sentMs, spec, step)
 	f.starts++
