The soak plays series of faults that belong together

Random faults overlap with them, and surround each second one for as long as the soak lasted before. After each series there is a calm time as long as the checks ask for. When the store is away, entries of the registry may expire. A cancelling that had no answer for ackMs of a calm time counts as acknowledged.

--- a/cmd/lagooncourse/soak_test.go
+++ b/cmd/lagooncourse/soak_test.go
@@ -26,14 +26,16 @@
 // The soak runs entry hosts as processes on the platform's path, against its stand-ins,
 // under a random sequence of overlapping faults: hosts are killed, stopped, suspended and
 // signalled to reload; workers restart behind silent connections or are cut off; the store is
-// away, slow, or loses answers; odd entries are written. Clients keep their connections in
-// use until a host is gone. A seed gives the same sequence again.
+// away, slow, or loses answers; odd entries are written. Between them come series of faults
+// that belong together, each followed by a calm time. Clients keep their connections in use
+// until a host is gone. A seed gives the same sequence again.
 var (
 	soakSeeds   = flag.Int("soak.seeds", 3, "number of seeds")
 	soakFirst   = flag.Int64("soak.first", 1, "first seed")
 	soakHosts   = flag.Int("soak.hosts", 4, "number of entry hosts")
 	soakWorkers = flag.Int("soak.workers", 10, "number of workers")
-	soakTime    = flag.Duration("soak.time", 12*time.Second, "duration of the faults")
+	soakTime    = flag.Duration("soak.time", 12*time.Second, "duration of the random faults around each second series")
+	soakRounds  = flag.Int("soak.rounds", 2, "number of series of faults")
 	soakLogs    = flag.String("soak.logs", "", "directory for the logs of failed seeds")
 )
 
@@ -91,6 +93,7 @@
 	clients sync.WaitGroup
 	faults  sync.WaitGroup // those that have yet to undo themselves
 	version int64
+	bursts  int
 
 	mu          sync.Mutex
 	jobs        []*soakJob
--- a/cmd/lagooncourse/soakcheck_test.go
+++ b/cmd/lagooncourse/soakcheck_test.go
@@ -118,6 +118,26 @@
 	})
 }
 
+// cancelledMs returns when a cancelling was acknowledged, or had waited for that for soakAck
+// of a time in which all was in touch; 0 for neither.
+func (h history) cancelledMs(j jobTimes) int64 {
+	if j.cancelMs == 0 {
+		return 0
+	}
+	var list []disruption
+	for _, d := range h.disruptions {
+		list = append(list, d.extended())
+	}
+	toMs := h.nowMs
+	if j.cancelledMs > 0 {
+		toMs = j.cancelledMs
+	}
+	if calmMs, ok := calmStretch(list, j.cancelMs, toMs, soakAck.Milliseconds()); ok {
+		return calmMs + soakAck.Milliseconds()
+	}
+	return j.cancelledMs
+}
+
 // check returns the runs of cancelled jobs that outlast a calm stretch or start late, the
 // starts of completed jobs, and whether too many cancellings were acknowledged late.
 func (h history) check() (findings []string) {
@@ -128,10 +148,11 @@
 		if j.completedMs > 0 && r.StartMs > j.completedMs+soakCompleted.Milliseconds() && !r.Late && h.allInTouch(r.StartMs) {
 			findings = append(findings, fmt.Sprintf("TWICE: %s run %d starts on %s at %d ms, but its job was shown as completed at %d ms", r.Task, r.Run, r.Worker, r.StartMs, j.completedMs))
 		}
-		if j.cancelledMs == 0 {
+		cancelledMs := h.cancelledMs(j)
+		if cancelledMs == 0 {
 			continue
 		}
-		fromMs, toMs := j.cancelledMs, h.nowMs
+		fromMs, toMs := cancelledMs, h.nowMs
 		if r.EndMs > 0 {
 			toMs = r.EndMs
 		}
@@ -141,12 +162,12 @@
 		case r.StartMs > fromMs+soakCancelled.Milliseconds():
 			fromMs = r.StartMs
 			if h.allInTouch(r.StartMs) {
-				findings = append(findings, fmt.Sprintf("UNASKED: %s run %d starts on %s at %d ms, but its cancelling was acknowledged at %d ms", r.Task, r.Run, r.Worker, r.StartMs, j.cancelledMs))
+				findings = append(findings, fmt.Sprintf("UNASKED: %s run %d starts on %s at %d ms, but its cancelling was acknowledged at %d ms", r.Task, r.Run, r.Worker, r.StartMs, cancelledMs))
 			}
 		}
 		if calmMs, ok := calmStretch(h.disrupted(r.Worker), fromMs, toMs, soakCancel.Milliseconds()); ok {
 			findings = append(findings, fmt.Sprintf("UNASKED: %s run %d is on %s from %d to %d ms, but its cancelling was acknowledged at %d ms and there was no disruption from %d ms on",
-				r.Task, r.Run, r.Worker, r.StartMs, toMs, j.cancelledMs, calmMs))
+				r.Task, r.Run, r.Worker, r.StartMs, toMs, cancelledMs, calmMs))
 		}
 	}
 	return append(findings, h.checkAcks()...)
@@ -257,6 +278,8 @@
 		"at work 5 s after the cancelling":           {run: run, want: "from 2000 ms on"},
 		"still at work":                              {run: fakes.RunRecord{Task: task, StartMs: 1_000}, nowMs: 7_000, want: "UNASKED"},
 		"stopped in time":                            {run: stopped},
+		"cancelling never acknowledged":              {run: run, times: jobTimes{cancelMs: 2_000}, want: "from 6000 ms on"},
+		"cancelling never acknowledged, store away":  {run: run, times: jobTimes{cancelMs: 2_000}, disruptions: []disruption{{ofStore, "", 5_000, 6_000}}},
 		"not cancelled":                              {run: run, times: jobTimes{completedMs: 15_000}},
 		"store away all the time":                    {run: run, disruptions: []disruption{{ofStore, "", 3_000, 9_000}}},
 		"store stable only just before the end":      {run: run, disruptions: []disruption{{ofStore, "", 3_000, 8_200}}},
--- a/cmd/lagooncourse/soakfault_test.go
+++ b/cmd/lagooncourse/soakfault_test.go
@@ -95,6 +95,13 @@
 	s.later(d, func() { h.signal(syscall.SIGCONT, false); end() })
 }
 
+// reload writes a new configuration and signals a host to reload.
+func (s *soak) reload(h *soakHost) {
+	s.event("new configuration, SIGHUP of host %s", h.ip)
+	h.signal(syscall.SIGHUP, false)
+	s.configure()
+}
+
 // fault brings about one random fault, which undoes itself in the background after a
 // random time.
 func (s *soak) fault() {
@@ -110,9 +117,7 @@
 	case 4:
 		s.suspend(h, d)
 	case 5:
-		s.event("new configuration, SIGHUP of host %s", h.ip)
-		h.signal(syscall.SIGHUP, false)
-		s.configure()
+		s.reload(h)
 	case 6:
 		if s.rand.Intn(3) == 0 {
 			for _, h := range s.hosts {
@@ -216,15 +221,26 @@
 }
 
 // run plays one seed and returns the findings.
-func (s *soak) run() []string {
+func (s *soak) run(seed int64) []string {
 	for n := range 3 * len(s.hosts) {
 		s.clients.Add(1)
 		go s.client(n, rand.New(rand.NewSource(int64(n))))
 	}
 	time.Sleep(2 * time.Second) // all hosts have found each other
-	s.pause(*soakTime, 6)
-	s.faults.Wait()
-	s.heal()
+	for i := range *soakRounds {
+		if i > 0 {
+			time.Sleep(soakContact + soakCancel + soakBeat) // calm for as long as the checks ask for
+		}
+		random := time.Duration(i%2) * *soakTime / 2 // half of it before the series, half after
+		s.pause(random, 6)
+		k := (int(seed)**soakRounds + i) % len(soakSeries)
+		s.event("series %q", soakSeries[k].name)
+		soakSeries[k].play(s)
+		s.pause(random, 6)
+		s.faults.Wait()
+		s.heal()
+		s.event("calm")
+	}
 	close(s.stop)
 	s.clients.Wait()
 	again := make(chan struct{}) // the fleet's time passes on
@@ -241,7 +257,7 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := newSoak(t, seed)
 			t.Cleanup(s.killAll)
-			findings := s.run()
+			findings := s.run(seed)
 			accepted, cancelled := 0, 0
 			for _, j := range s.jobs {
 				if !j.accepted.IsZero() {
