A test that the soak finds runs that go on

Workers confirm stops and carry none out: the soak has to find each run of a cancelled job, and nothing else. Without it, a check that has lost its sight would pass.

--- a/cmd/lagooncourse/soakcheck_test.go
+++ b/cmd/lagooncourse/soakcheck_test.go
@@ -334,3 +334,23 @@
 	h.disruptions = []disruption{{ofStore, "", 3_000, 17_000}}
 	assert.Equal(t, len(h.check()), 0)
 }
+
+// TestSoakFinds plays workers that confirm stops and go on: the soak has to find each run
+// of a cancelled job.
+func TestSoakFinds(t *testing.T) {
+	s := newSoak(t, *soakFirst)
+	defer s.killAll()
+	s.fleet.SetFaults(fakes.SimFleetFaults{Deaf: 1})
+	time.Sleep(soakContact)
+	s.cancelAll(s.burst(), nil)
+	s.faults.Wait()
+	time.Sleep(soakCancel + soakCancel/10)
+	running := s.fleet.RunningTasks()
+	close(s.stop)
+	findings := s.history().check()
+	assert.Assert(t, len(running) > 0)
+	assert.Equal(t, len(findings), len(running), "%v, %v", running, findings)
+	for _, f := range findings {
+		assert.Check(t, strings.HasPrefix(f, "UNASKED: "), f)
+	}
+}
