The soak asks for earlier jobs while faults go on

A client asked for a job up to three times right after its acceptance, and for a cancelled one not before the end. Answers with 410, false ends and ends that change later were found by luck only, and an answer without a state at the end was passed over.

Change: a client asks for one of its earlier jobs, cancelled or not, after each acceptance; at the end each accepted job has to be answered with a state.

--- a/cmd/lagooncourse/soakclient_test.go
+++ b/cmd/lagooncourse/soakclient_test.go
@@ -41,6 +41,7 @@
 	defer s.clients.Done()
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}
 	at := n
+	var mine []*soakJob // accepted
 	for i := 0; ; i++ {
 		select {
 		case <-s.stop:
@@ -53,6 +54,10 @@
 		if j.accepted.IsZero() {
 			continue
 		}
+		mine = append(mine, j)
+		if j := mine[rnd.Intn(len(mine))]; time.Since(j.accepted) < soakStatus {
+			s.ask(c, j, &at)
+		}
 		if long || rnd.Intn(8) == 0 {
 			time.Sleep(time.Duration(rnd.Intn(800)) * time.Millisecond)
 			s.cancel(c, j, &at)
@@ -128,8 +133,8 @@
 	}
 }
 
-// ask asks for the state of a job and checks the answer.
-func (s *soak) ask(c *http.Client, j *soakJob, at *int) {
+// ask asks for the state of a job, checks the answer, and reports whether it was a state.
+func (s *soak) ask(c *http.Client, j *soakJob, at *int) bool {
 	sent := time.Now()
 	status, body := s.call(c, s.hosts[*at%len(s.hosts)], http.MethodGet, j.id, nil)
 	s.mu.Lock()
@@ -154,6 +159,7 @@
 		s.find("LOST: job %s is shown as failed", j.id)
 		s.end(j, "failed")
 	}
+	return status == http.StatusOK
 }
 
 // end notes the state in which a job was shown to have ended, which is the last one.
--- a/cmd/lagooncourse/soakfault_test.go
+++ b/cmd/lagooncourse/soakfault_test.go
@@ -214,8 +214,8 @@
 		if j.refused && s.fleet.Started(j.id) {
 			s.find("REFUSED: job %s has started, but all tries to hand it in were refused", j.id)
 		}
-		if !j.accepted.IsZero() && time.Since(j.accepted) < soakStatus {
-			s.ask(c, j, &at)
+		if !j.accepted.IsZero() && time.Since(j.accepted) < soakStatus && !s.ask(c, j, &at) {
+			s.find("LOST: the state of accepted job %s is not given", j.id)
 		}
 	}
 }
