--- a/cmd/lagooncourse/cancelrandom_test.go
+++ b/cmd/lagooncourse/cancelrandom_test.go
@@ -42,7 +42,7 @@
 					p.playRandom()
 					if t.Failed() {
 						t.Logf("%s", strings.Join(p.events, "\n"))
-						p.keep(seed)
+						p.keep(seed, p.findings)
 					}
 				})
 			}
