A failed stop confirms nothing about the run

Seen: by a review's test only. A worker that answered a stop with 500, 400 or an unreadable 409 was taken to have confirmed it. With the start before it unanswered, the next report lacked the run, the task was placed again, and both starts could be carried out (TWICE).

Evidence, before: TestFailedStopIsNoConfirmation, "run 2 was started after 1 stops, all answered with 500" (the review's run).

Change: only success, and the refusal that tells that the run has ended, confirm. After another refusal the next report has the stop requested again.

Result: passes, with the tests of stops in lead (1 run).

--- a/internal/node/lead/orders_test.go
+++ b/internal/node/lead/orders_test.go
@@ -143,3 +143,61 @@
 		t.Fatal("the run was not stopped")
 	}
 }
+
+// brokenWorker is a worker whose first starts get no answer, and whose stops are answered
+// with a status that says nothing about the run.
+type brokenWorker struct {
+	recorder
+	tries, stopped int
+}
+
+func (r *brokenWorker) Start(ctx context.Context, o ports.StartOrder) (int64, error) {
+	r.mu.Lock()
+	r.tries++
+	lost := r.tries <= startTries
+	r.mu.Unlock()
+	if lost {
+		return 0, fault.New(fault.Timeout, fault.Unknown, "no answer")
+	}
+	return r.recorder.Start(ctx, o)
+}
+
+func (r *brokenWorker) Stop(context.Context, ports.StopOrder) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped++
+	if r.stopped > 2 {
+		return nil
+	}
+	return &ports.RefusedError{Reason: ports.RefusedOther, Status: 500}
+}
+
+// TestFailedStopIsNoConfirmation guards against a second run while the first may still
+// start: the stop between them was answered with 500.
+func TestFailedStopIsNoConfirmation(t *testing.T) {
+	r := &brokenWorker{recorder: recorder{starts: make(chan ports.StartOrder, 10), advice: make(chan string, 100)}}
+	o := startOwnerFrom(t, sched.NewState(), &lateRegistry{}, r, clock.System{})
+	assert.NilError(t, <-submit(o, testJob("00000000000000aa")))
+	select {
+	case s := <-r.starts:
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		assert.Assert(t, r.stopped > 2, "run %d was started after %d stops, all answered with 500", s.Run, r.stopped)
+	case <-time.After(5 * time.Second):
+		t.Fatal("not started again")
+	}
+}
+
+// TestRefusedStopIsRepeatedByTheNextReport guards against a stop that was refused by another
+// worker and is repeated only after stopAgainMs.
+func TestRefusedStopIsRepeatedByTheNextReport(t *testing.T) {
+	r := &movedWorker{recorder: recorder{starts: make(chan ports.StartOrder, 10), advice: make(chan string, 100)}}
+	o := startOwnerFrom(t, sched.NewState(), &lateRegistry{}, r, clock.System{})
+	assert.NilError(t, <-submit(o, testJob("00000000000000aa")))
+	select {
+	case start := <-r.starts:
+		assert.Equal(t, start.Run, 2)
+	case <-time.After(time.Second): // below stopAgainMs of package sched
+		t.Fatal("the task was not started again")
+	}
+}
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -194,22 +194,20 @@
 
 // handleStopResult processes the result of a stop and reports whether no retry is
 // needed. A stop without an answer, or refused for overload, must be retried. A
-// refusal because of a higher fencing token ends ownership. If another worker has the
-// address by now, the worker's next report comes from its new one. In all other cases the
-// planner checks the run against the worker's next report.
+// refusal because of a higher fencing token ends ownership. A run that has ended needs no
+// stop. Any other refusal, for example by another worker that has the address by now, says
+// nothing about the run, so the next report has the stop requested again.
 func (o *Owner) handleStopResult(s sched.Stop, err error) bool {
 	switch reason := ports.ReasonOf(err); {
-	case err == nil:
+	case err == nil || reason == ports.RefusedStaleRun:
+		o.locked(func() { o.planner.StopConfirmed(s, o.now()) })
 	case reason == "" || reason == ports.RefusedBusy:
 		return false
 	case reason == ports.RefusedFence:
 		o.stopIfFenced(err)
-		return true
-	case reason == ports.RefusedIncarnation:
+	default:
 		o.stopNotSent(s)
-		return true
 	}
-	o.locked(func() { o.planner.StopConfirmed(s, o.now()) })
 	return true
 }
 
