Give a stop up under the lock of the address's look-up

Seen: by a review's test only. A stop was dropped although the address of its worker had become known meanwhile; the run of a cancelled job went on until the worker's next report, up to 1.9 s.

Cause: the look-up of the address, the log line and the note that the stop was dropped were three steps. An entry read between them had the stop requested again, and that request was taken for a repeat of the one in flight.

Change: the look-up and the note are one step under one lock.

--- a/internal/node/lead/orders_test.go
+++ b/internal/node/lead/orders_test.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
 	"gotest.tools/v3/assert"
 
 	"lagooncourse/internal/base/clock"
@@ -201,3 +204,46 @@
 		t.Fatal("the task was not started again")
 	}
 }
+
+// heldLog is a log sink that holds the line about a dropped stop until let is closed.
+type heldLog struct {
+	let  chan struct{}
+	once sync.Once
+}
+
+func (l *heldLog) Init(logr.RuntimeInfo)          {}
+func (l *heldLog) Enabled(int) bool               { return true }
+func (l *heldLog) Error(error, string, ...any)    {}
+func (l *heldLog) WithValues(...any) logr.LogSink { return l }
+func (l *heldLog) WithName(string) logr.LogSink   { return l }
+func (l *heldLog) Info(_ int, msg string, _ ...any) {
+	if strings.HasPrefix(msg, "stop not sent") {
+		l.once.Do(func() { <-l.let })
+	}
+}
+
+// TestAddressLearntWhileStopIsDropped guards against a stop that is not repeated when the
+// address of the worker becomes known between its look-up and the note that it was dropped.
+func TestAddressLearntWhileStopIsDropped(t *testing.T) {
+	const id = "00000000000000aa"
+	r := &silentWorker{stoppable: stoppable{stopped: make(chan struct{})}, awake: make(chan struct{}), called: make(chan struct{}, 100)}
+	r.running = []sched.Running{{Task: id + ".0.0.0", Run: 3}}
+	l := &heldLog{let: make(chan struct{})}
+	cfg := ownerConfig(cancelledState(t, id), &slowRegistry{delay: 300 * time.Millisecond}, r, clock.System{})
+	cfg.Logger = logr.New(l)
+	o := Start(cfg)
+	t.Cleanup(func() {
+		o.Stop("the test has ended")
+		<-o.Done()
+	})
+	<-r.called // the address is known
+	close(l.let)
+	for range 4 {
+		<-r.called
+	}
+	close(r.awake)
+	from := time.Now()
+	<-r.stopped
+	d := time.Since(from).Round(time.Millisecond)
+	assert.Assert(t, d < stopTimeout+2*stopRetryPause, "stopped %v after the worker was back", d)
+}
--- a/internal/node/lead/worker.go
+++ b/internal/node/lead/worker.go
@@ -162,11 +162,10 @@
 		o.mu.Unlock()
 	}()
 	for try := 1; o.awaitPermission(); try++ {
-		info, ok := o.worker(s.Worker)
+		info, ok := o.stopTarget(s)
 		if !ok {
 			o.cfg.Metrics.countStop(stopNotSent)
 			o.log.Info("stop not sent, the address of the worker is not known", "task", s.Ref.String(), "run", s.Run, "worker", s.Worker)
-			o.stopNotSent(s)
 			return
 		}
 		ctx, cancel := context.WithTimeout(o.ctx, stopTimeout)
@@ -183,13 +182,22 @@
 	}
 }
 
-// stopNotSent notes that a stop was given up. A request for another one may follow at once,
-// so the stop is no longer in flight by then.
-func (o *Owner) stopNotSent(s sched.Stop) {
+// stopTarget returns the registry entry of the worker of a stop. Without one, the stop is
+// given up under the same lock, so an address that becomes known has it requested again.
+func (o *Owner) stopTarget(s sched.Stop) (info sched.WorkerInfo, ok bool) {
 	o.locked(func() {
-		delete(o.stopsInFlight, keyOf(s))
-		o.planner.StopNotSent(s)
+		if info, ok = o.planner.Worker(s.Worker); !ok {
+			o.giveUpStop(s)
+		}
 	})
+	return info, ok
+}
+
+// giveUpStop notes that a stop has not reached the worker. A request for another one may
+// follow at once, so the stop is no longer in flight. The caller holds o.mu.
+func (o *Owner) giveUpStop(s sched.Stop) {
+	delete(o.stopsInFlight, keyOf(s))
+	o.planner.StopNotSent(s)
 }
 
 // handleStopResult processes the result of a stop and reports whether no retry is
@@ -206,7 +214,7 @@
 	case reason == ports.RefusedFence:
 		o.stopIfFenced(err)
 	default:
-		o.stopNotSent(s)
+		o.locked(func() { o.giveUpStop(s) })
 	}
 	return true
 }
