--- a/cmd/lagooncourse/powerloss_test.go
+++ b/cmd/lagooncourse/powerloss_test.go
@@ -61,6 +61,7 @@
 	target string
 	mode   atomic.Int64
 	pause  atomic.Int64 // ns, of modeSlow
+	lag    atomic.Int64 // ns, mean, of each call
 }
 
 // startStoreProxy serves the store at an address of its own.
@@ -81,6 +82,9 @@
 		return
 	}
 	write := r.Method == http.MethodPost
+	if lag := d.lag.Load(); lag > 0 {
+		time.Sleep(time.Duration(rand.Int63n(2 * lag)))
+	}
 	switch storeMode(d.mode.Load()) {
 	case modeBusy:
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/cmd/lagooncourse/soak_test.go
+++ b/cmd/lagooncourse/soak_test.go
@@ -63,6 +63,33 @@
 
 var soakCapacity = jobs.Size{CPU: 8_000, Mem: 8_000} // of each worker
 
+// soakQueue is a queue of a soak. Its path prefix is its name between slashes.
+type soakQueue struct {
+	name     string
+	attempts int // maxAttempts
+	priority int
+	swings   bool // its priority is 0 in each second version
+	slack    float64
+	targetMs int
+	advice   *fakes.AdviceRule // nil if starts need no ticket
+}
+
+// soakTeam is a team of a soak. Its name is its key, too.
+type soakTeam struct {
+	name    string
+	weight  int
+	maximum jobs.Size
+}
+
+// soakConfig is what a soak is played on.
+type soakConfig struct {
+	hosts  int
+	fleet  fakes.SimFleetConfig
+	queues []soakQueue
+	teams  []soakTeam
+	cuts   bool // each host reaches the store through a proxy of its own
+}
+
 // soakHost is one entry host.
 type soakHost struct {
 	ip, settings, api string
@@ -71,13 +98,14 @@
 	cmd      *exec.Cmd
 	expected bool     // the process has got a signal that ends it
 	back     []func() // record the ends of its disruptions
+	planned  bool     // SIGTERM was the only signal that the process has got
 }
 
 // soakJob is a job as its client saw it.
 type soakJob struct {
 	id         string
-	spec       sched.Spec
-	refused    bool // all tries were refused
+	spec       sched.Spec // its queue and team are the first of the soak if they have no name
+	refused    bool       // all tries were refused
 	accepted   time.Time
 	cancelling time.Time // when the first cancelling was sent
 	cancelled  time.Time // when it was acknowledged
@@ -89,6 +117,7 @@
 // soak is one run with one seed.
 type soak struct {
 	t       *testing.T
+	cfg     soakConfig
 	dir     string
 	seed    int64
 	series  []series   // those that can be played
@@ -98,6 +127,7 @@
 	fleet   *fakes.SimFleet
 	execs   []*mock.Executor
 	hosts   []*soakHost
+	proxies []*storeProxy // by host, if cfg.cuts is set
 	stop    chan struct{}
 	clients sync.WaitGroup
 	faults  sync.WaitGroup // those that have yet to undo themselves
@@ -134,9 +164,22 @@
 
 // newSoakOf starts a number of hosts, and the stand-ins with a fleet of their own.
 func newSoakOf(t *testing.T, hosts int, fleet fakes.SimFleetConfig) *soak {
+	return newSoakWith(t, soakConfig{
+		hosts: hosts, fleet: fleet, teams: []soakTeam{{name: "k", weight: 1000}},
+		queues: []soakQueue{{name: "q", attempts: 3, priority: 1, swings: true, slack: 2, targetMs: 500}},
+	})
+}
+
+// newSoakWith starts the hosts and the stand-ins.
+func newSoakWith(t *testing.T, cfg soakConfig) *soak {
 	s := &soak{
-		t: t, dir: t.TempDir(), seed: fleet.Seed, series: soakSeries, rand: rand.New(rand.NewSource(fleet.Seed)), started: time.Now(), store: fakes.NewStore(fleet.Seed), stop: make(chan struct{}),
-		fleet: fakes.NewSimFleet(fleet),
+		t: t, cfg: cfg, dir: t.TempDir(), seed: cfg.fleet.Seed, series: soakSeries, rand: rand.New(rand.NewSource(cfg.fleet.Seed)), started: time.Now(), store: fakes.NewStore(cfg.fleet.Seed), stop: make(chan struct{}),
+		fleet: fakes.NewSimFleet(cfg.fleet),
+	}
+	for _, q := range cfg.queues {
+		if q.advice != nil {
+			s.fleet.SetAdvice(q.name, *q.advice)
+		}
 	}
 	for _, id := range s.fleet.IDs() {
 		x, err := mock.StartExecutor(s.fleet, id, s.nowMs)
@@ -152,13 +195,22 @@
 	go s.tick(s.stop)
 	port := strings.Split(freeAddr(t), ":")[1]
 	freeAddr(t) // the port after it is that of the metrics
-	for i := range hosts {
+	for i := range cfg.hosts {
 		ip := fmt.Sprintf("127.0.0.%d", i+2)
+		adviceAddr, closeAdvice, err := mock.StartAdvice(s.fleet, s.nowMs)
+		assert.NilError(t, err)
+		t.Cleanup(closeAdvice)
+		storeAddr := storeAddr
+		if cfg.cuts {
+			proxy, addr := startStoreProxy(t, storeAddr)
+			s.proxies, storeAddr = append(s.proxies, proxy), addr
+		}
 		h := &soakHost{ip: ip, settings: filepath.Join(s.dir, fmt.Sprintf("host%d.toml", i)), api: strings.Replace(freeAddr(t), "127.0.0.1", ip, 1)}
 		text := fmt.Sprintf(`nodeName = "h%d"
 ip = %q
 zone = "x"
 internalPorts = [%s,65000]
+advice = %q
 [listen]
 frontend = %q
 ready = %q
@@ -174,7 +226,7 @@
 form = "log"
 recordBytes = 262144
 callBytes = 2097152
-`, i, ip, port, h.api, strings.Replace(freeAddr(t), "127.0.0.1", ip, 1), soakGrace.Seconds(), storeAddr)
+`, i, ip, port, adviceAddr, h.api, strings.Replace(freeAddr(t), "127.0.0.1", ip, 1), soakGrace.Seconds(), storeAddr)
 		assert.NilError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 		s.hosts = append(s.hosts, h)
 		s.startHost(h)
@@ -185,14 +237,22 @@
 // configure writes the next version of the configuration.
 func (s *soak) configure() {
 	s.version++
-	b, err := json.Marshal(map[string]any{
-		"version": s.version,
-		"routes": []map[string]any{
-			{"name": "q", "host": "h.example", "pathPrefix": "/q/", "service": "s", "maxAttempts": 3, "slackFactor": 2.0, "targetLatencyMs": 500, "priority": s.version % 2, "timeoutMs": 3000},
-		},
-		"tenants": []map[string]any{{"name": "t", "apiKeys": []string{"k"}, "weight": 1000, "maximum": map[string]any{}}},
-		"limits":  map[string]any{"maxBodyBytes": 262144},
-	})
+	routes, teams := []map[string]any{}, []map[string]any{}
+	for _, q := range s.cfg.queues {
+		if q.swings {
+			q.priority = int(s.version % 2)
+		}
+		r := map[string]any{"name": q.name, "host": "h.example", "pathPrefix": "/" + q.name + "/", "service": s.cfg.fleet.Service, "maxAttempts": q.attempts, "slackFactor": q.slack, "targetLatencyMs": q.targetMs, "priority": q.priority, "timeoutMs": 3000}
+		if q.advice != nil {
+			r["advice"] = map[string]any{"decideMs": q.advice.BaseMs, "perWorkerMs": q.advice.WorkerMs, "validMs": q.advice.ValidMs}
+		}
+		routes = append(routes, r)
+	}
+	for _, t := range s.cfg.teams {
+		m := t.maximum
+		teams = append(teams, map[string]any{"name": t.name, "apiKeys": []string{t.name}, "weight": t.weight, "maximum": map[string]any{"cpu": m.CPU, "taskMemoryMb": m.Mem, "gpu": m.Accel}})
+	}
+	b, err := json.Marshal(map[string]any{"version": s.version, "routes": routes, "tenants": teams, "limits": map[string]any{"maxBodyBytes": 262144}})
 	assert.NilError(s.t, err)
 	s.store.Put(platform.TopicOperator, "config", b)
 }
@@ -241,7 +301,7 @@
 	assert.NilError(s.t, err)
 	cmd.Stdout, cmd.Stderr = out, out
 	assert.NilError(s.t, cmd.Start())
-	h.cmd, h.expected = cmd, false
+	h.cmd, h.expected, h.planned = cmd, false, false
 	s.event("host %s starts", h.ip)
 	for _, end := range h.back {
 		end()
@@ -294,10 +354,18 @@
 	if h.cmd == nil {
 		return false
 	}
+	h.planned = sig == syscall.SIGTERM && (h.planned || !h.expected) || h.planned && !ends && sig == syscall.SIGHUP
 	h.expected = h.expected || ends
 	return h.cmd.Process.Signal(sig) == nil
 }
 
+// stopping reports whether the host stops, or has stopped and not started again, as planned.
+func (h *soakHost) stopping() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.planned
+}
+
 // process returns the process of the host, nil if it has none.
 func (h *soakHost) process() *exec.Cmd {
 	h.mu.Lock()
--- a/cmd/lagooncourse/soakcheck_test.go
+++ b/cmd/lagooncourse/soakcheck_test.go
@@ -35,12 +35,17 @@
 type history struct {
 	hosts       []string
 	workers     []string
-	capacity    jobs.Size // of each worker
-	maximum     jobs.Size // of the one tenant; zero for none
+	capacity    jobs.Size                      // of each worker
+	maximum     map[string]jobs.Size           // by team; zero for none
+	attempts    map[string]int                 // maxAttempts by queue
+	allows      func(step, worker string) bool // nil if all workers may run all steps
 	specs       map[string]sched.Spec
 	runs        []fakes.RunRecord
 	disruptions []disruption
 	jobs        map[string]jobTimes
+	deadly      map[string]bool // jobs with a task that crashes its workers, which may fail
+	mostInUse   float64         // share of the service in use below which a job may not wait; 0 for all
+	finishMs    int64           // finish_s after the end of the traffic; 0 if that is not checked
 	nowMs       int64
 }
 
@@ -179,7 +184,7 @@
 				r.Task, r.Run, r.Worker, r.StartMs, toMs, cancelledMs, calmMs))
 		}
 	}
-	return slices.Concat(findings, h.checkAcks(), h.checkLost())
+	return slices.Concat(findings, h.checkAcks(), h.checkLost(), h.checkFinish())
 }
 
 // watched counts the runs of cancelled jobs that would be found if they had gone on.
@@ -243,7 +248,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := history{runs: runs, disruptions: slices.Clone(s.disruptions), jobs: map[string]jobTimes{}, nowMs: s.nowMs(),
-		workers: s.fleet.IDs(), capacity: soakCapacity, specs: map[string]sched.Spec{}}
+		workers: s.fleet.IDs(), capacity: s.cfg.fleet.Capacity, specs: map[string]sched.Spec{},
+		maximum: map[string]jobs.Size{}, attempts: map[string]int{}, allows: s.fleet.Allows}
+	for _, q := range s.cfg.queues {
+		h.attempts[q.name] = q.attempts
+	}
+	for _, t := range s.cfg.teams {
+		h.maximum[t.name] = t.maximum
+	}
+	for _, o := range s.fleet.Outages() {
+		h.disruptions = append(h.disruptions, disruption{ofLink, o.Worker, o.FromMs, o.ToMs})
+	}
 	for _, host := range s.hosts {
 		h.hosts = append(h.hosts, host.ip)
 	}
--- a/cmd/lagooncourse/soakclient_test.go
+++ b/cmd/lagooncourse/soakclient_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand"
@@ -18,22 +20,55 @@
 // call sends one request over the client's open connection, and returns status and body.
 // The status is 0 if there was no answer.
 func (s *soak) call(c *http.Client, h *soakHost, method, id string, body []byte) (int, string) {
+	status, text, _ := s.callAs(c, h, method, sched.Spec{ID: id}, body)
+	return status, text
+}
+
+// callAs sends a request about a job to its queue, with the key of its team, and returns
+// status, body and headers.
+func (s *soak) callAs(c *http.Client, h *soakHost, method string, spec sched.Spec, body []byte) (int, string, http.Header) {
 	ctx, cancel := context.WithTimeout(context.Background(), soakCallTime)
 	defer cancel()
-	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.api+"/q/"+id, bytes.NewReader(body))
+	queue, team := cmp.Or(spec.Queue, s.cfg.queues[0].name), cmp.Or(spec.Team, s.cfg.teams[0].name)
+	r, err := http.NewRequestWithContext(ctx, method, "http://"+h.api+"/"+queue+"/"+spec.ID, bytes.NewReader(body))
 	if err != nil {
-		return 0, ""
+		return 0, "", nil
 	}
 	r.Host = "h.example"
-	r.Header.Set("Authorization", "Bearer k")
+	r.Header.Set("Authorization", "Bearer "+team)
 	r.Header.Set("X-Lagooncourse-Deadline-Ms", fmt.Sprint(soakCallTime.Milliseconds()))
+	sent := time.Now()
 	resp, err := c.Do(r)
 	if err != nil {
-		return 0, ""
+		s.noteCut(h, method, spec.ID, sent, err)
+		return 0, "", nil
 	}
 	defer resp.Body.Close()
-	data, _ := io.ReadAll(resp.Body)
-	return resp.StatusCode, string(data)
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		s.noteCut(h, method, spec.ID, sent, err)
+		return 0, "", nil
+	}
+	return resp.StatusCode, string(data), resp.Header
+}
+
+// lossSlack is the time after a request was sent from which on its connection may not end
+// without an answer around planned work: lossSlackMs.
+const lossSlack = 200 * time.Millisecond
+
+// noteCut records a request whose connection ended without a complete answer while a host
+// was stopped as planned.
+func (s *soak) noteCut(h *soakHost, method, id string, sent time.Time, err error) {
+	if d := time.Since(sent); d > lossSlack && !errors.Is(err, context.DeadlineExceeded) && h.stopping() {
+		s.find("LOST: %s %s at %s got no answer while the host was stopping: %v after %s", method, id, h.ip, err, d)
+	}
+}
+
+// path returns the parts of a job's spec that name it in a request.
+func (s *soak) path(j *soakJob) sched.Spec {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return sched.Spec{ID: j.id, Queue: j.spec.Queue, Team: j.spec.Team}
 }
 
 // client hands in jobs one after the other, asks for them, and cancels some.
@@ -147,7 +182,7 @@
 	j.cancelling = time.Now()
 	s.mu.Unlock()
 	for end := time.Now().Add(soakCancelTime); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
-		status, _ := s.call(c, s.hosts[*at%len(s.hosts)], http.MethodDelete, j.id, nil)
+		status, _, _ := s.callAs(c, s.hosts[*at%len(s.hosts)], http.MethodDelete, s.path(j), nil)
 		if status/100 == 2 || status == http.StatusGone {
 			s.mu.Lock()
 			j.cancelled = time.Now()
@@ -161,7 +196,7 @@
 // ask asks for the state of a job, checks the answer, and reports whether it was a state.
 func (s *soak) ask(c *http.Client, j *soakJob, at *int) bool {
 	sent := time.Now()
-	status, body := s.call(c, s.hosts[*at%len(s.hosts)], http.MethodGet, j.id, nil)
+	status, body, _ := s.callAs(c, s.hosts[*at%len(s.hosts)], http.MethodGet, s.path(j), nil)
 	s.mu.Lock()
 	cancelling, accepted := !j.cancelling.IsZero(), j.accepted
 	s.mu.Unlock()
--- a/cmd/lagooncourse/soaklost_test.go
+++ b/cmd/lagooncourse/soaklost_test.go
@@ -32,6 +32,8 @@
 // dueTasks are tasks of a step that can start: all of a gang, otherwise one.
 type dueTasks struct {
 	step  int
+	name  string // of the step
+	team  string
 	size  jobs.Size // of one task
 	count int64
 }
@@ -47,12 +49,17 @@
 	}
 	uses := h.uses()
 	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
-		if j := h.jobs[id]; j.failedMs > 0 {
-			findings = append(findings, fmt.Sprintf("LOST: job %s is shown as failed at %d ms, and no run ended failed", id, j.failedMs))
+		if j := h.jobs[id]; j.failedMs > 0 && !h.deadly[id] {
+			if n := mostFailures(h.specs[id], runs[id]); n == 0 || n < h.attempts[h.specs[id].Queue] {
+				findings = append(findings, fmt.Sprintf("LOST: job %s is shown as failed at %d ms, and %d runs of one task ended failed", id, j.failedMs, n))
+			}
 			continue
 		}
 		for _, t := range h.idleTimes(id, runs[id]) {
 			if f := h.neglect(id, t, uses); f != "" {
+				if h.deadly[id] {
+					f += ", deadly"
+				}
 				findings = append(findings, f)
 				break
 			}
@@ -61,6 +68,56 @@
 	return findings
 }
 
+// checkFinish returns the jobs that have nothing running for lostIdle at the finish, although
+// there is room for one of their tasks twice over and under half of the service is in use.
+// That holds whatever has happened before.
+func (h history) checkFinish() (findings []string) {
+	if h.finishMs == 0 {
+		return nil
+	}
+	h.disruptions = nil
+	runs := map[string][]fakes.RunRecord{}
+	for _, r := range h.runs {
+		id, _, _ := strings.Cut(r.Task, ".")
+		runs[id] = append(runs[id], r)
+	}
+	uses := h.uses()
+	for _, id := range slices.Sorted(maps.Keys(h.jobs)) {
+		for _, t := range h.idleTimes(id, runs[id]) {
+			if t.fromMs > h.finishMs || t.toMs <= h.finishMs {
+				continue
+			}
+			half := h
+			half.mostInUse = 0.5
+			if f := half.neglect(id, t, uses); f != "" {
+				findings = append(findings, fmt.Sprintf("at the finish, %d ms, deadly %v: %s", h.finishMs, h.deadly[id], f))
+			}
+		}
+	}
+	return findings
+}
+
+// mostFailures returns the number of failed runs of the task, or the gang, with the most.
+func mostFailures(spec sched.Spec, runs []fakes.RunRecord) (most int) {
+	failed := map[string]map[int]bool{} // by task, or by step of a gang: numbers of the runs
+	for _, r := range runs {
+		ref, ok := sched.ParseRef(r.Task)
+		if !ok || r.Reason != sched.EndFailed || ref.Step >= len(spec.Steps) {
+			continue
+		}
+		name := r.Task
+		if spec.Steps[ref.Step].Gang {
+			name = ref.StepName()
+		}
+		if failed[name] == nil {
+			failed[name] = map[int]bool{}
+		}
+		failed[name][r.Run] = true
+		most = max(most, len(failed[name]))
+	}
+	return most
+}
+
 // idleTimes returns the idle times of a job of lostIdle or more, from its acceptance until it
 // is done or its cancelling is sent. Its runs are in the order of their starts.
 func (h history) idleTimes(id string, runs []fakes.RunRecord) (list []idleTime) {
@@ -71,6 +128,9 @@
 	if j.cancelMs > 0 {
 		untilMs = j.cancelMs
 	}
+	if j.failedMs > 0 {
+		untilMs = min(untilMs, j.failedMs)
+	}
 	fromMs := j.acceptedMs
 	for i := range len(runs) + 1 {
 		toMs := untilMs
@@ -99,7 +159,7 @@
 		if done[i] || slices.ContainsFunc(step.DependsOn, func(before int) bool { return !done[before] }) {
 			continue
 		}
-		d := dueTasks{step: i, size: step.Size, count: 1}
+		d := dueTasks{step: i, name: sched.Ref{Job: spec.ID, Step: i}.StepName(), team: spec.Team, size: step.Size, count: 1}
 		if step.Gang {
 			d.count = int64(step.Count)
 		}
@@ -115,6 +175,9 @@
 	gangRun := 0
 	for _, r := range runs {
 		if ref, ok := sched.ParseRef(r.Task); ok && ref.Step == i {
+			if step.Gang && r.Reason == sched.EndDone {
+				return true
+			}
 			last[ref.Index] = r
 			gangRun = max(gangRun, r.Run)
 		}
@@ -129,7 +192,7 @@
 		if step.Gang {
 			startMs = gangMs
 		}
-		if !ok || step.Gang && r.Run != gangRun || r.EndMs-startMs < step.EstimateMs {
+		if !ok || step.Gang && r.Run != gangRun || r.EndMs-startMs < step.EstimateMs || r.Reason == sched.EndFailed {
 			return false
 		}
 	}
@@ -147,14 +210,19 @@
 		fromMs, least, most := t.fromMs, int64(math.MaxInt64), 0.0 // since then there is room
 		for i, u := range uses[first:] {
 			ms, room := min(max(u.fromMs, t.fromMs), t.toMs), int64(0)
-			if ms < t.toMs {
-				room = h.roomFor(due.size, u)
+			inUse := u.all.DominantShare(h.capacity.Times(int64(len(h.workers))))
+			if ms < t.toMs && (h.mostInUse == 0 || inUse < h.mostInUse) {
+				room = h.roomFor(due, u)
 			}
 			if room >= 2*due.count {
-				least, most = min(least, room), max(most, u.all.DominantShare(h.capacity.Times(int64(len(h.workers)))))
+				least, most = min(least, room), max(most, inUse)
 				continue
 			}
-			calmMs, ok := calmStretch(slices.Clone(h.disruptions), max(1, fromMs-lostCalm.Milliseconds()), ms, (lostCalm + lostIdle).Milliseconds())
+			calm := lostCalm
+			if h.mostInUse > 0 {
+				calm = 0
+			}
+			calmMs, ok := calmStretch(slices.Clone(h.disruptions), max(1, fromMs-calm.Milliseconds()), ms, (calm + lostIdle).Milliseconds())
 			if ok {
 				return fmt.Sprintf("LOST: job %s has nothing running from %d to %d ms, but %d tasks of step %d could start: there was room for %d, at most %.0f%% of the service in use, and no disruption from %d ms on",
 					id, t.fromMs, t.toMs, due.count, due.step, least, 100*most, calmMs)
@@ -172,6 +240,7 @@
 type use struct {
 	fromMs int64
 	worker map[string]jobs.Size
+	team   map[string]jobs.Size
 	all    jobs.Size
 }
 
@@ -184,7 +253,7 @@
 	slices.Sort(edges)
 	var list []use
 	for _, ms := range slices.Compact(edges) {
-		list = append(list, use{fromMs: ms, worker: map[string]jobs.Size{}})
+		list = append(list, use{fromMs: ms, worker: map[string]jobs.Size{}, team: map[string]jobs.Size{}})
 	}
 	for _, r := range h.runs {
 		ref, ok := sched.ParseRef(r.Task)
@@ -192,24 +261,28 @@
 		if !ok || ref.Step >= len(steps) {
 			continue
 		}
-		size := steps[ref.Step].Size
+		size, team := steps[ref.Step].Size, h.specs[ref.Job].Team
 		i, _ := slices.BinarySearchFunc(list, r.StartMs, func(u use, ms int64) int { return cmp.Compare(u.fromMs, ms) })
 		for ; i < len(list) && list[i].fromMs < endMs(r); i++ {
 			list[i].worker[r.Worker] = list[i].worker[r.Worker].Plus(size)
+			list[i].team[team] = list[i].team[team].Plus(size)
 			list[i].all = list[i].all.Plus(size)
 		}
 	}
 	return list
 }
 
-// roomFor returns how many tasks of a size fit on the workers beside what runs, none if the
-// tenant has half of its maximum. In calm, all workers are up.
-func (h history) roomFor(size jobs.Size, u use) (n int64) {
-	if !h.maximum.IsZero() && u.all.DominantShare(h.maximum) >= 0.5 {
+// roomFor returns how many of the tasks fit on the workers that may run them beside what
+// runs, none if their team has half of its maximum. In calm, all workers are up.
+func (h history) roomFor(due dueTasks, u use) (n int64) {
+	if m := h.maximum[due.team]; !m.IsZero() && u.team[due.team].DominantShare(m) >= 0.5 {
 		return 0
 	}
 	for _, w := range h.workers {
-		for used := u.worker[w].Plus(size); used.FitsIn(h.capacity); used = used.Plus(size) {
+		if h.allows != nil && !h.allows(due.name, w) {
+			continue
+		}
+		for used := u.worker[w].Plus(due.size); used.FitsIn(h.capacity); used = used.Plus(due.size) {
 			n++
 		}
 	}
@@ -302,7 +375,7 @@
 				c.runs = []fakes.RunRecord{first}
 			}
 			h := history{
-				hosts: []string{"h1", "h2"}, workers: []string{"w1", "w2"}, capacity: jobs.Size{CPU: 4_000, Mem: 4_000}, maximum: c.maximum,
+				hosts: []string{"h1", "h2"}, workers: []string{"w1", "w2"}, capacity: jobs.Size{CPU: 4_000, Mem: 4_000}, maximum: map[string]jobs.Size{"": c.maximum},
 				specs: map[string]sched.Spec{"a": spec(1_000, c.gang), "b": spec(1_000, false), "half": spec(2_000, false), "most": spec(3_000, false), "full": spec(3_500, false)},
 				runs:  c.runs, disruptions: c.disruptions, jobs: map[string]jobTimes{"a": c.times}, nowMs: 30_000,
 			}
--- a/internal/plat/fakes/simfleet.go
+++ b/internal/plat/fakes/simfleet.go
@@ -38,8 +38,11 @@
 	startedJobs map[string]bool
 	deadly      map[string]DeadlyTask // by task
 	crashes     map[string]int        // workers that crashed under a deadly task
+	outages     []Outage              // by deadly tasks
 	overrun     map[string]int        // starts of a deadly task after maxCrashStarts workers crashed
 	nextID      int                   // number of the next worker that returns with a new ID
+	hopeless    map[string]bool       // jobs whose runs all fail
+	advice      map[string]AdviceRule // by queue
 }
 
 // RunRecord is a run as its worker saw it. Times are those that the callers passed.
@@ -48,8 +51,9 @@
 	Run     int
 	Worker  string
 	StartMs int64
-	EndMs   int64 // 0 while it is active
-	Late    bool  // its start was a late order
+	EndMs   int64           // 0 while it is active
+	Late    bool            // its start was a late order
+	Reason  sched.EndReason // empty while it is active; EndLost if its worker was lost
 }
 
 // DeadlyTask describes a task that crashes each worker that starts it.
@@ -59,6 +63,12 @@
 	NewID   bool  // it is back with a new ID
 }
 
+// Outage is the time from the crash of a worker under a deadly task to its return.
+type Outage struct {
+	Worker       string
+	FromMs, ToMs int64
+}
+
 // SimFleetFaults holds the injected faults, as probabilities between 0 and 1.
 type SimFleetFaults struct {
 	Lost float64 // a start or stop is carried out but not answered
@@ -100,6 +110,9 @@
 	unreachable bool               // calls to the worker fail
 	unlisted    bool               // it writes no registry entry
 	down        bool               // the worker is not running
+	grey        bool               // all runs that it starts fail
+	slow        float64            // factor of the duration of the runs that it starts; 0 for 1
+	still       bool               // its runs stand still
 	backAtMs    int64              // when a crashed worker is back
 	newID       bool               // it is back with a new ID
 	silentMs    int64              // when its registry entry is deleted
@@ -180,6 +193,7 @@
 		rand: rand.New(rand.NewSource(cfg.Seed)), workers: map[string]*simWorker{}, specs: map[string]sched.Spec{},
 		quotas: map[string]jobs.Size{}, ackedTasks: map[string]bool{}, doneTasks: map[string]bool{},
 		startedJobs: map[string]bool{}, deadly: map[string]DeadlyTask{}, crashes: map[string]int{}, overrun: map[string]int{}, nextID: cfg.Workers,
+		hopeless: map[string]bool{}, advice: map[string]AdviceRule{},
 	}
 	for i := range cfg.Workers {
 		rack := fmt.Sprintf("r%d", i/max(cfg.Rack, 1))
@@ -221,6 +235,42 @@
 	f.deadly[task] = d
 }
 
+// SetHopeless makes all runs of a job fail.
+func (f *SimFleet) SetHopeless(job string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hopeless[job] = true
+}
+
+// SetSlow makes the runs that a worker starts take x times as long.
+func (f *SimFleet) SetSlow(id string, x float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].slow = x
+}
+
+// SetStill makes the runs on a worker stand still (on) or go on (!on).
+func (f *SimFleet) SetStill(id string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].still = on
+}
+
+// SetDraining announces that a worker will leave in some time, 0 for no longer.
+func (f *SimFleet) SetDraining(id string, leavesInMs int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.info.Draining, w.info.LeavesInMs = leavesInMs > 0, leavesInMs
+}
+
+// SetGrey makes a worker fail all runs that it starts (on), or run them as usual (!on).
+func (f *SimFleet) SetGrey(id string, on bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.workers[id].grey = on
+}
+
 // CrashStarts returns how many workers crashed under a deadly task, and how many starts
 // of it followed after the third crash.
 func (f *SimFleet) CrashStarts(task string) (crashes, after int) {
@@ -229,6 +279,13 @@
 	return f.crashes[task], f.overrun[task]
 }
 
+// Outages returns the outages of workers by deadly tasks, in the order of their crashes.
+func (f *SimFleet) Outages() []Outage {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.outages)
+}
+
 // IDs returns the IDs of all workers in a fixed order.
 func (f *SimFleet) IDs() []string {
 	f.mu.Lock()
@@ -320,7 +377,7 @@
 			continue // already ended with another member of its gang
 		}
 		delete(w.runs, task)
-		r.record.EndMs = f.nowMs
+		r.record.EndMs, r.record.Reason = f.nowMs, sched.EndLost
 		if r.gang != "" {
 			f.finishGang(r.gang, sched.EndLost)
 		}
@@ -490,6 +547,8 @@
 				f.finish(w, task, r, sched.EndLeaseExpired)
 			case r.gang != "" && gangs[r.gang].n < r.members && nowMs-r.startMs > gangTimeoutMs:
 				f.finish(w, task, r, sched.EndGangIncomplete)
+			case w.still:
+				r.startMs = max(r.startMs, nowMs-r.runMs+1)
 			case nowMs >= workStartMs+r.runMs && r.fails:
 				f.finish(w, task, r, sched.EndFailed)
 			case nowMs >= workStartMs+r.runMs:
@@ -515,6 +574,7 @@
 				d := f.deadly[task]
 				f.crashes[task]++
 				f.loseRuns(w)
+				f.outages = append(f.outages, Outage{id, nowMs, nowMs + d.DownMs})
 				w.down, w.backAtMs, w.newID, w.silentMs = true, nowMs+d.DownMs, d.NewID, nowMs+entryExpiryMs
 				break
 			}
@@ -597,7 +657,7 @@
 // finish ends a run and the other members of its gang.
 func (f *SimFleet) finish(w *simWorker, task string, r *simRun, reason sched.EndReason) {
 	delete(w.runs, task)
-	r.record.EndMs = f.nowMs
+	r.record.EndMs, r.record.Reason = f.nowMs, reason
 	w.lastSeq++
 	w.ended = append(w.ended, sched.Finished{Seq: w.lastSeq, Task: task, Run: r.number, Reason: reason})
 	w.endedRun[task] = max(w.endedRun[task], r.number)
@@ -690,6 +750,9 @@
 		f.addViolation("unasked: %s run %d starts on %s with payload %q", o.Task, o.Run, o.Peer.ID, o.Payload)
 		return refused(ports.RefusedInvalid)
 	}
+	if !f.hasTicket(w, o, ref, spec.Queue, nowMs) {
+		return refused(ports.RefusedTicket)
+	}
 	step := spec.Steps[ref.Step]
 	f.checkStart(w, o, sentMs, spec, step)
 	f.starts++
@@ -697,6 +760,10 @@
 	r := &simRun{
 		number: o.Run, size: step.Size, team: spec.Team, startMs: nowMs, runMs: step.EstimateMs, fails: f.rand.Float64() < f.faults.Fail,
 	}
+	r.fails = r.fails || w.grey || f.hopeless[ref.Job]
+	if w.slow > 0 {
+		r.runMs = int64(w.slow * float64(r.runMs))
+	}
 	if step.Gang {
 		r.gang, r.members = fmt.Sprintf("%s/%d", ref.StepName(), o.Run), step.Count
 	}
