After a crash, ask for advice about workers that the task had better take

What callers saw: a job whose worker had crashed was started on the same worker again, up to three times in a row, although 47 others were free.

Cause: the placement of a task that has lost a worker prefers workers that were not lost in the last 10 s, but on a queue with advice it chooses among the workers with a ticket only. Tickets run out within 1.5 s, before a loss is known, and the request for new ones names the allowed workers whose tickets have expired: the worker that was just lost, as soon as it is back.

Change: a step with a crash asks about other workers first, and a gang's allowed workers are taken in the same order. Without any other, the lost ones are asked about as before.

--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -96,7 +96,11 @@
 //   - a few workers without advice and without free capacity, if no allowed
 //     worker has capacity
 func (p *Planner) workersToAsk(si *stepInstance, need int, ix *index, now Instant) (ids []string) {
-	expired, unknown, full, have := p.adviceCandidates(si, need, ix, now)
+	mayAvoid := stepCrashes(si.tasks()) > 0
+	expired, unknown, full, have := p.adviceCandidates(si, need, ix, mayAvoid, now)
+	if mayAvoid && have == 0 && len(unknown) == 0 {
+		expired, unknown, full, have = p.adviceCandidates(si, need, ix, false, now)
+	}
 	switch {
 	case have < need && len(unknown) > 0, len(expired) == 0 && len(unknown) > 0:
 		ids = p.pickUnknown(si, need-have, unknown)
@@ -119,7 +123,9 @@
 //   - unknown: the workers with capacity but without advice, by slowdown class
 //   - full: a few workers without advice and without free capacity
 //   - have: the number of tasks for which the allowed workers have capacity
-func (p *Planner) adviceCandidates(si *stepInstance, need int, ix *index, now Instant) (expired []string, unknown []candidate, full []string, have int) {
+//
+// With avoid, it leaves out workers that a suspect had better not be placed on.
+func (p *Planner) adviceCandidates(si *stepInstance, need int, ix *index, avoid bool, now Instant) (expired []string, unknown []candidate, full []string, have int) {
 	size := si.spec().demand()
 	var classes [slowdownClasses][]candidate
 	for _, w := range ix.byFree {
@@ -127,7 +133,7 @@
 			break
 		}
 		advised, ok := p.mayRun(si, w, now)
-		if !ok {
+		if !ok || avoid && p.avoidedBySuspects(w, now) {
 			continue
 		}
 		n := p.slotsFor(si, w, need, now)
--- a/internal/cell/sched/crash.go
+++ b/internal/cell/sched/crash.go
@@ -505,6 +505,12 @@
 	return w.lost != nil && now.Ms-w.lost.atMs <= lossWindowMs
 }
 
+// avoidedBySuspects reports whether tasks under which workers have crashed prefer other
+// workers: another suspect has just started there, or the worker was lost recently.
+func (p *Planner) avoidedBySuspects(w *Worker, now Instant) bool {
+	return p.hostsSuspect(w) || w.lostRecently(now)
+}
+
 // hostsSuspect reports whether a suspect has just started on the worker.
 func (p *Planner) hostsSuspect(w *Worker) bool {
 	for ref, a := range w.allocations {
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -270,7 +270,7 @@
 		list = append(list, placementOption{
 			w: w, slots: free, remote: s.DataRack != "" && w.Rack != s.DataRack, reserved: now.Ms < w.reservation.untilMs && w.reservation.stepKey != si.key(),
 			slowdown: p.estimator.slowdownClass(w.ID), freeCPU: w.free().CPU - s.Size.CPU,
-			suspect: avoidSuspects && (p.hostsSuspect(w) || w.lostRecently(now)), probing: s.Gang && p.trust.State(w.ID, now.Ms) == trust.Probing,
+			suspect: avoidSuspects && p.avoidedBySuspects(w, now), probing: s.Gang && p.trust.State(w.ID, now.Ms) == trust.Probing,
 		})
 	}
 	sort.Slice(list, func(a, b int) bool {
--- a/internal/cell/sched/reserve.go
+++ b/internal/cell/sched/reserve.go
@@ -1,6 +1,10 @@
 package sched
 
-import "lagooncourse/internal/cell/jobs"
+import (
+	"slices"
+
+	"lagooncourse/internal/cell/jobs"
+)
 
 // A gang needs the capacity for all its tasks at once. A wide gang would starve
 // while smaller tasks take each core that becomes free. Workers are therefore
@@ -140,7 +144,7 @@
 }
 
 // freeNow returns the workers that have free capacity: those that advice allows,
-// and those without advice.
+// and those without advice. For a gang with suspects, those that they avoid come last.
 func (p *Planner) freeNow(si *stepInstance, ix *index, need int, now Instant) (allowed, unknown []gangWorker) {
 	size := si.spec().demand()
 	replyAtMs := p.replyAtMs(si, now)
@@ -153,9 +157,22 @@
 			allowed, unknown = p.classify(si, c, advised, replyAtMs, allowed, unknown)
 		}
 	}
+	if stepCrashes(si.tasks()) > 0 {
+		for _, list := range [][]gangWorker{allowed, unknown} {
+			slices.SortStableFunc(list, func(a, b gangWorker) int { return p.avoidance(a.w, now) - p.avoidance(b.w, now) })
+		}
+	}
 	return allowed, unknown
 }
 
+// avoidance returns 1 for a worker that suspects avoid, otherwise 0.
+func (p *Planner) avoidance(w *Worker, now Instant) int {
+	if p.avoidedBySuspects(w, now) {
+		return 1
+	}
+	return 0
+}
+
 // freeLater returns the workers that are expected to have free capacity after
 // horizonMs: those that advice allows, and those without advice. Workers that are
 // already reserved for the gang come first, which keeps the choice stable.
