Give up a task as soon as its losses are unlikely to be chance

What callers saw: 14 s after the end of the traffic, accepted jobs with nothing running beside a fleet that was free: those with a task that crashes its workers.

Cause: such a task was started five times, whatever else was lost. A silent worker is known to be lost up to 5.5 s after the crash, so the verdict took 16 to 24 s. Class: a safeguard that keeps a job without a run, with a bound in counts and none in time.

Change: the probability that a task without fault has such losses decides (docs/design/0014-convictions.md): two crashes are enough on 48 workers if nothing else is lost, five are needed on 8 workers as before.

--- a/cmd/lagooncourse/site_test.go
+++ b/cmd/lagooncourse/site_test.go
@@ -118,6 +118,7 @@
 	next    int
 	burst   []float64 // factor of the rate of each kind
 	killers map[string]bool
+	share   float64        // of the jobs of the first kind whose first task crashes its workers
 	poison  float64        // share of hopeless jobs beside that of the kinds
 	deadly  map[string]int // jobs to come, by queue, whose first task crashes its workers
 	late    int            // jobs that were open at the end
@@ -453,17 +454,8 @@
 	p.later(4*time.Second, func() { p.mu.Lock(); p.burst[kind] = 1; p.mu.Unlock() })
 }
 
-// run plays the traffic, the troubles and a loss of power of all hosts near the end.
-func (p *sitePlay) run() []string {
-	p.fleet.SetFaults(fakes.SimFleetFaults{Fail: p.site.fail})
-	time.Sleep(2 * time.Second) // all hosts have found each other
-	p.traffic.Add(1)
-	seed := p.rand.Int63()
-	go func() {
-		defer p.traffic.Done()
-		p.send(*siteTime, rand.New(rand.NewSource(seed)))
-	}()
-	end := time.Now().Add(*siteTime)
+// random plays one trouble after the other.
+func (p *sitePlay) random(end time.Time) {
 	for time.Sleep(2 * time.Second); time.Now().Before(end); time.Sleep(p.between(*siteRest/2, *siteRest*3/2)) {
 		x := siteTroubles[p.rand.Intn(len(siteTroubles))]
 		if *siteOnly != "" {
@@ -477,6 +469,20 @@
 		p.event("trouble %q", x.name)
 		x.play(p)
 	}
+}
+
+// run plays the traffic beside the troubles, which have to return when it ends, and checks
+// what clients and workers saw.
+func (p *sitePlay) run(troubles func(*sitePlay, time.Time)) []string {
+	p.fleet.SetFaults(fakes.SimFleetFaults{Fail: p.site.fail})
+	time.Sleep(2 * time.Second) // all hosts have found each other
+	p.traffic.Add(1)
+	seed := p.rand.Int63()
+	go func() {
+		defer p.traffic.Done()
+		p.send(*siteTime, rand.New(rand.NewSource(seed)))
+	}()
+	troubles(p, time.Now().Add(*siteTime))
 	p.faults.Wait()
 	p.heal()
 	p.fleet.SetFaults(fakes.SimFleetFaults{Fail: p.site.fail})
@@ -549,7 +555,23 @@
 }
 
 // TestSites plays the sites; see the flags site.*.
-func TestSites(t *testing.T) {
+func TestSites(t *testing.T) { playSites(t, (*sitePlay).random) }
+
+// TestDeadlyTaskLeavesNoJobIdle guards against jobs that wait for the verdict on a task that crashes its workers.
+func TestDeadlyTaskLeavesNoJobIdle(t *testing.T) {
+	playSites(t, func(p *sitePlay, end time.Time) {
+		time.Sleep(time.Until(end.Add(-deadlyLead)))
+		p.mu.Lock()
+		p.deadly[p.site.kinds[len(p.site.kinds)-1].queue.name]++
+		p.mu.Unlock()
+		time.Sleep(time.Until(end))
+	})
+}
+
+// deadlyLead is the time before the end of the traffic at which a deadly job is due.
+const deadlyLead = 2 * time.Second
+
+func playSites(t *testing.T, troubles func(*sitePlay, time.Time)) {
 	for _, st := range sites {
 		if *siteName != "" && *siteName != st.name {
 			continue
@@ -557,7 +579,7 @@
 		for seed := *siteFirst; seed < *siteFirst+int64(*siteSeeds); seed++ {
 			t.Run(fmt.Sprintf("%s/%d", st.name, seed), func(t *testing.T) {
 				p := newSitePlay(t, st, seed)
-				findings := p.run()
+				findings := p.run(troubles)
 				ended, accepted, refused := map[string]int{}, 0, 0
 				for _, j := range p.jobs {
 					if j.accepted.IsZero() {
--- a/internal/cell/sched/crash.go
+++ b/internal/cell/sched/crash.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 
 	"lagooncourse/internal/base/frame"
@@ -15,8 +16,9 @@
 //     just started, and workers that were lost a moment ago
 //   - after isolateCrashes, it is tried alone: on a worker where all other runs have
 //     settled, and which takes no other start until this one has settled too
-//   - a task that has been started maxTrials times after boundedCrashes is given up:
-//     its job fails
+//   - a task under which workers have crashed that have hardly been lost by chance is given
+//     up: its job fails
+//   - so is a task that has been started maxTrials times after boundedCrashes
 //
 // A run that survives crashWindowMs clears its task. Losses that have another cause
 // count too, because at first they can't be told apart, but they are taken back when
@@ -45,6 +47,9 @@
 	lossWindowMs    = 10_000 // time over which unexplained losses are counted
 	commonLossShare = 0.02   // share of the workers; losses are common if as many were lost unexplained
 	minCommonLosses = 5      // the same in a small fleet
+	minSharedChance = 0.15   // probability that a task without fault is on a worker that another one crashes
+	sharedWorkers   = 2.5    // the same in a small fleet, times the number of workers
+	maxDoubt        = 0.001  // probability of the losses of a task without fault, from which on it is not given up
 )
 
 // suspect is the stored record of one suspect of a job. Suspects have a record apart
@@ -112,6 +117,8 @@
 	incarnation int64
 	atMs        int64
 	suspects    []Ref // tasks of the runs that were lost soon after their start
+	unsettled   []Ref // those whose runs had not settled
+	again       bool  // the worker had been lost shortly before, so it may be faulty itself
 }
 
 // TakeCrashes returns the crashes counted and the tasks given up or cleared since the
@@ -132,7 +139,7 @@
 	for old < len(p.losses) && now.Ms-p.losses[old].atMs > lossWindowMs {
 		old++
 	}
-	w.lost = &workerLoss{worker: w.ID, incarnation: incarnation, atMs: now.Ms}
+	w.lost = &workerLoss{worker: w.ID, incarnation: incarnation, atMs: now.Ms, again: w.lostRecently(now)}
 	p.losses = append(slices.Delete(p.losses, 0, old), w.lost)
 	return w.lost
 }
@@ -198,6 +205,9 @@
 	}
 	l := p.recordLoss(w, t.Incarnation, now)
 	l.suspects = append(l.suspects, a.ref)
+	if !a.settled {
+		l.unsettled = append(l.unsettled, a.ref)
+	}
 	if j.Progress.Verdict != Open || t.State != Placed {
 		return
 	}
@@ -207,9 +217,73 @@
 		p.dirty[a.ref.Job] = true
 		p.reportCrash(l.worker, a.ref, t, CrashCounted, now)
 	}
-	if t.exhausted() {
-		p.verdicts[a.ref] = pendingVerdict{worker: w.ID, atMs: now.Ms}
+	if t.exhausted() || t.Crashes >= isolateCrashes {
+		p.verdicts[a.ref] = pendingVerdict{worker: w.ID, atMs: now.Ms, loss: l}
+	}
+}
+
+// convicts reports whether the loss of a worker and the crashes before it are too unlikely
+// for a task that did not cause them: no other job had a run there that had not settled, and
+// few workers are lost otherwise. Some of the crashes before may be due to other suspects.
+func (p *Planner) convicts(l *workerLoss, ref Ref, t *Task, now Instant) bool {
+	if l == nil || t.Crashes < isolateCrashes || !l.blames(ref.Job) {
+		return false
+	}
+	riskMs := int64(crashWindowMs)
+	if slices.Contains(l.unsettled, ref) {
+		riskMs = 2 * settleMs // a run is known to have settled with the next report
+	}
+	shared := max(minSharedChance, sharedWorkers/float64(p.reachableWorkers()))
+	chance := p.lossChance(ref.Job, riskMs, now)
+	if l.again {
+		chance = max(chance, shared)
+	}
+	return chance*math.Pow(shared, float64(t.Crashes-1)) < maxDoubt
+}
+
+// blames reports whether no other job had a run on the lost worker that had not settled.
+func (l *workerLoss) blames(job string) bool {
+	return !slices.ContainsFunc(l.unsettled, func(r Ref) bool { return r.Job != job })
+}
+
+// lossChance estimates the probability that a worker is lost within riskMs, from the recent
+// losses that neither the job nor a suspect of another one explains. At least one is
+// assumed. A new owner has seen less than the window.
+func (p *Planner) lossChance(job string, riskMs int64, now Instant) float64 {
+	n := 1
+	for _, l := range p.losses {
+		if now.Ms-l.atMs <= lossWindowMs && !p.explained(l, job) {
+			n++
+		}
+	}
+	seenMs := min(max(now.Ms-p.startedMs, 1), lossWindowMs)
+	return float64(int64(n)*riskMs) / float64(int64(p.reachableWorkers())*seenMs)
+}
+
+// reachableWorkers returns the number of workers that answered the last call, at least 1.
+func (p *Planner) reachableWorkers() int {
+	n := 0
+	for _, w := range p.workers {
+		if w.reachable {
+			n++
+		}
 	}
+	return max(n, 1)
+}
+
+// explained reports whether a loss hit the job, or a suspect of another one that is to be
+// blamed for it or was given up since.
+func (p *Planner) explained(l *workerLoss, job string) bool {
+	return slices.ContainsFunc(l.suspects, func(r Ref) bool {
+		if r.Job == job {
+			return true
+		}
+		j := p.state.Jobs[r.Job]
+		if j == nil || j.task(r) == nil || j.task(r).Crashes < isolateCrashes {
+			return false
+		}
+		return j.Progress.Verdict == JobFailed || l.blames(r.Job)
+	})
 }
 
 // reportCrash adds a crash for TakeCrashes.
@@ -237,30 +311,33 @@
 type pendingVerdict struct {
 	worker string // that was lost last
 	atMs   int64
+	loss   *workerLoss // of that worker; nil if a previous owner has seen it
 }
 
-// judgeSuspects fails the jobs of exhausted tasks, or drops the crashes counted under
-// them if losses are common.
+// judgeSuspects fails the jobs of tasks that are convicted or exhausted, or drops the
+// crashes counted under them if losses are common. Other tasks are placed again at once.
 func (p *Planner) judgeSuspects(now Instant) {
 	for ref, v := range p.verdicts {
-		if now.Ms < v.atMs+verdictDelayMs {
-			continue
-		}
-		delete(p.verdicts, ref)
 		j := p.state.Jobs[ref.Job]
 		if j == nil || j.Progress.Verdict != Open {
+			delete(p.verdicts, ref)
 			continue
 		}
 		t := j.task(ref)
+		guilty := t != nil && t.State == Waiting && (t.exhausted() || p.convicts(v.loss, ref, t, now))
+		if guilty && now.Ms < v.atMs+verdictDelayMs {
+			continue
+		}
+		delete(p.verdicts, ref)
 		switch {
-		case t == nil || t.State != Waiting || !t.exhausted(): // the worker turned out to be alive
+		case !guilty: // the worker may have turned out to be alive
 		case p.lossesCommon(now):
 			p.reportCrash(v.worker, ref, t, SuspectCleared, now)
 			t.Suspicion = Suspicion{}
 			p.dirty[ref.Job] = true
 		default:
 			p.reportCrash(v.worker, ref, t, SuspectGivenUp, now)
-			p.failJob(j, Ending{Task: ref, Run: t.LastRun, Reason: EndLost, Failures: t.Crashes, Limit: boundedCrashes + maxTrials}, now)
+			p.failJob(j, Ending{Task: ref, Run: t.LastRun, Reason: EndLost, Failures: t.Crashes, Limit: t.Crashes}, now)
 			continue
 		}
 		p.updateJob(j, now)
@@ -340,10 +417,12 @@
 		if t.State != Waiting {
 			continue
 		}
-		if t.exhausted() {
-			if _, ok := p.verdicts[si.ref(i)]; !ok {
-				p.verdicts[si.ref(i)] = pendingVerdict{worker: t.Worker, atMs: now.Ms}
-			}
+		_, pending := p.verdicts[si.ref(i)]
+		if t.exhausted() && !pending {
+			pending = true
+			p.verdicts[si.ref(i)] = pendingVerdict{worker: t.Worker, atMs: now.Ms}
+		}
+		if pending {
 			if si.spec().Gang {
 				return nil, nil
 			}
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -139,6 +139,7 @@
 	gone           []endedJob                 // cancelled jobs whose last run is gone, with the time of the acknowledgement; since the last TakeGone
 	lingering      int                        // listed runs whose job has ended, of all workers
 	lastSerial     int64                      // of an allocation for a start
+	startedMs      int64                      // time of NewPlanner
 	tickMs         int64                      // time of the last call of Tick
 	trust          *trust.Tracker
 	allowedShares  map[string]*allowedShare // share of the workers that advice allows, by queue
@@ -169,7 +170,7 @@
 // has listed its runs or its lease has expired.
 func NewPlanner(cfg Config, now Instant) *Planner {
 	p := &Planner{
-		cfg: cfg, state: cfg.State, tickMs: now.Ms, workers: map[string]*Worker{}, used: map[string]jobs.Size{},
+		cfg: cfg, state: cfg.State, startedMs: now.Ms, tickMs: now.Ms, workers: map[string]*Worker{}, used: map[string]jobs.Size{},
 		steps: map[stepKey]*stepInstance{}, waiting: map[stepKey]*stepInstance{}, dirty: map[string]bool{},
 		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{MaxQuarantineMs: maxQuarantineMs}), allowedShares: map[string]*allowedShare{},
 		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]pendingVerdict{}, setAside: map[string]bool{},
