--- a/cmd/lagooncourse/site_test.go
+++ b/cmd/lagooncourse/site_test.go
@@ -118,7 +118,6 @@
 	next    int
 	burst   []float64 // factor of the rate of each kind
 	killers map[string]bool
-	share   float64        // of the jobs of the first kind whose first task crashes its workers
 	poison  float64        // share of hopeless jobs beside that of the kinds
 	deadly  map[string]int // jobs to come, by queue, whose first task crashes its workers
 	late    int            // jobs that were open at the end
