Fetch a large configuration once, not once for each ping

Cause: each ping of a host that was ahead began a fetch of all operator records, and each of them took more than its 500 ms. Reads from the store were copied over up to three paths after 80 ms, with a timeout of 1 s that began anew. The copies filled the link, so that none of them arrived.

Now one fetch is under way at a time and may take 4 s, a read is not copied while its first path may still succeed, it asks for 256 KiB, and its timeout grows up to 4 s.

--- a/internal/node/gate/config.go
+++ b/internal/node/gate/config.go
@@ -25,17 +25,31 @@
 	closedAzs map[string]bool   // availability zones out of service
 	teamByKey map[string]string // team of each API key
 	lastRead  time.Time         // last successful read from the store or a peer
+	fetching  bool              // a fetch from a peer is under way
+	timeout   time.Duration     // of the next read; used by the config loop only
 }
 
 func newConfigState() *configState {
-	return &configState{newest: map[string]ports.Record{}, closedAzs: map[string]bool{}, teamByKey: map[string]string{}}
+	return &configState{newest: map[string]ports.Record{}, closedAzs: map[string]bool{}, teamByKey: map[string]string{}, timeout: configTimeout}
+}
+
+// noteTimeout doubles the timeout of the next read after a read has timed out, up to
+// maxConfigTimeout, and restores it after one that has succeeded.
+func (s *configState) noteTimeout(timedOut bool) {
+	if timedOut {
+		s.timeout = min(2*s.timeout, maxConfigTimeout)
+		return
+	}
+	s.timeout = configTimeout
 }
 
 // Timeouts and intervals of reading the operator topic.
 const (
 	configLongPoll   = 2 * time.Second // maximum wait of a read for new records
-	configTimeout    = time.Second     // of a read, in addition to its wait
+	configTimeout    = time.Second     // of a read, in addition to its wait, unless earlier ones have timed out
+	maxConfigTimeout = 4 * time.Second // of a read after others have timed out, and of a fetch from a peer: 1 MB over a shared link of 10 Mbit/s takes about 2 s
 	configRetryPause = 200 * time.Millisecond
+	configPageKiB    = 256 // of a read: a few versions with thousands of routes would exceed the timeout as one answer
 )
 
 // ready reports whether a configuration has been read.
@@ -122,9 +136,12 @@
 	if !h.store.healthy() {
 		wait = 0 // a read with a wait is not tried through peers until it has failed
 	}
-	rctx, cancel := context.WithTimeout(ctx, wait+configTimeout)
+	rctx, cancel := context.WithTimeout(ctx, wait+h.config.timeout)
 	defer cancel()
-	page, err := h.store.Read(rctx, ports.ReadRequest{Topic: h.cfg.OperatorTopic, From: next, Wait: wait})
+	page, err := h.store.Read(rctx, ports.ReadRequest{Topic: h.cfg.OperatorTopic, From: next, Wait: wait, MaxKiB: configPageKiB, Large: true})
+	if err == nil || rctx.Err() != nil {
+		h.config.noteTimeout(err != nil)
+	}
 	var gone *ports.GoneError
 	if errors.As(err, &gone) {
 		return h.readNewestConfig(ctx)
@@ -144,10 +161,15 @@
 
 // readNewestConfig applies the newest record of each key and drops all other keys.
 func (h *Host) readNewestConfig(ctx context.Context) (int64, error) {
-	all, end, err := ports.ReadNewest(ctx, h.store, h.cfg.OperatorTopic, configTimeout)
+	sent := h.clock.Now()
+	all, end, err := ports.ReadNewest(ctx, h.store, h.cfg.OperatorTopic, h.config.timeout)
 	if err != nil {
+		if h.clock.Now().Sub(sent) >= h.config.timeout {
+			h.config.noteTimeout(true)
+		}
 		return -1, err
 	}
+	h.config.noteTimeout(false)
 	h.config.dropMissing(all, end)
 	h.applyConfig(all, end)
 	return end, nil
@@ -244,9 +266,30 @@
 	return a, nil
 }
 
-// fetchConfig fetches the operator records from a peer that has newer ones.
-func (h *Host) fetchConfig(ctx context.Context, addr string) {
-	ctx, cancel := context.WithTimeout(ctx, pingTimeout)
+// beginFetch reports whether a fetch from a peer may begin: this host has not read up to
+// offset next, and no other fetch is under way. A fetch for each ping of a host that is
+// ahead would fill a slow link with copies of the same records, of which none arrives.
+func (s *configState) beginFetch(next int64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.fetching || next <= s.next {
+		return false
+	}
+	s.fetching = true
+	return true
+}
+
+func (s *configState) endFetch() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fetching = false
+}
+
+// fetchConfig fetches the operator records from a peer that has newer ones, after
+// beginFetch.
+func (h *Host) fetchConfig(addr string) {
+	defer h.config.endFetch()
+	ctx, cancel := context.WithTimeout(context.Background(), maxConfigTimeout)
 	defer cancel()
 	a, err := frame.Call(ctx, h.pool, addr, configMethod, configMsg{Next: h.config.offset()})
 	if err == nil {
--- a/internal/node/gate/membership.go
+++ b/internal/node/gate/membership.go
@@ -208,12 +208,12 @@
 		}
 		return
 	}
-	h.processPing(ctx, a)
+	h.processPing(a)
 }
 
 // servePing processes a peer's ping and answers with this host's.
-func (h *Host) servePing(ctx context.Context, msg ping) (ping, error) {
-	h.processPing(context.WithoutCancel(ctx), msg)
+func (h *Host) servePing(_ context.Context, msg ping) (ping, error) {
+	h.processPing(msg)
 	if msg.Claim {
 		h.mu.Lock()
 		h.claimRequested = h.localOwner == nil || h.owner.addr != h.addr
@@ -223,7 +223,7 @@
 }
 
 // processPing updates the peer and the owner from a peer's ping or its answer.
-func (h *Host) processPing(ctx context.Context, msg ping) {
+func (h *Host) processPing(msg ping) {
 	now := h.clock.Now()
 	h.mu.Lock()
 	p := h.peers[msg.Addr]
@@ -240,8 +240,8 @@
 		h.owner.lastContact, h.ownerContacted = now, true
 	}
 	h.mu.Unlock()
-	if msg.ConfigNext > h.config.offset() {
-		h.background("fetching the configuration", func() { h.fetchConfig(ctx, msg.Addr) })
+	if h.config.beginFetch(msg.ConfigNext) {
+		h.background("fetching the configuration", func() { h.fetchConfig(msg.Addr) })
 	}
 }
 
--- a/internal/node/gate/peers_test.go
+++ b/internal/node/gate/peers_test.go
@@ -159,6 +159,6 @@
 	assert.Assert(t, !h.shouldClaimNow(), "a host that has been in contact with an owner waits for the new one")
 
 	h = newHost()
-	h.processPing(t.Context(), ping{Addr: "b", Epoch: 5, Owner: "dead", OwnerAgeMs: 700})
+	h.processPing(ping{Addr: "b", Epoch: 5, Owner: "dead", OwnerAgeMs: 700})
 	assert.Equal(t, c.Now().Sub(h.owner.lastContact), 700*time.Millisecond, "an owner reported by a peer has the reported age")
 }
--- a/internal/node/gate/relay.go
+++ b/internal/node/gate/relay.go
@@ -273,8 +273,8 @@
 // Read returns records; see ports.Store.
 func (s *relayStore) Read(ctx context.Context, r ports.ReadRequest) (ports.Page, error) {
 	hedge := s.hedgeAfter()
-	if r.Wait > 0 {
-		hedge = 0 // the store may delay its answer
+	if r.Wait > 0 || r.Large {
+		hedge = 0 // the store may delay its answer, or several copies would share one link
 	}
 	viaPeer := r
 	viaPeer.Wait = 0 // a wait may exceed relayTimeout
--- a/internal/plat/ports/ports.go
+++ b/internal/plat/ports/ports.go
@@ -89,6 +89,7 @@
 	From   int64
 	Wait   time.Duration // long poll: how long the store may wait for a record
 	MaxKiB int           // limit of the answer's size; 0 means the store's default
+	Large  bool          // the answer may be large for the link: it is not read over a second path while the first may still succeed
 }
 
 // Newest is a page of a listing that has the newest record of each key.
