--- a/cmd/lagooncourse/cluster_test.go
+++ b/cmd/lagooncourse/cluster_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -49,6 +50,8 @@
 	hosts []*hostProc
 	procs []*exec.Cmd
 	proxy *proxy // between the first entry host and the log
+
+	program string // of the processes
 }
 
 // hostProc is an entry host process.
@@ -65,6 +68,7 @@
 	workMs    int
 	retention string
 	lease     string // of workers; "2s" by default
+	program   string // of the processes; the test binary if empty
 }
 
 var azs = []string{"a", "b", "c"}
@@ -129,7 +133,7 @@
 // startCluster starts all roles and waits until every entry host is ready.
 func startCluster(t *testing.T, cfg clusterConfig) *cluster {
 	t.Helper()
-	c := &cluster{t: t, dir: t.TempDir()}
+	c := &cluster{t: t, dir: t.TempDir(), program: cmp.Or(cfg.program, os.Args[0])}
 	t.Cleanup(c.stop)
 	logAddr, fleetAddr, execAddr := freeAddr(t), freeAddr(t), freeAddr(t)
 	c.log, c.fleet, c.execs = "http://"+logAddr, "http://"+fleetAddr, "http://"+execAddr
@@ -199,7 +203,7 @@
 func (c *cluster) run(args ...string) *exec.Cmd {
 	out, err := os.CreateTemp(c.dir, strings.Join(args[:2], "-")+"-*.out")
 	assert.NilError(c.t, err)
-	cmd := exec.Command(os.Args[0], args...)
+	cmd := exec.Command(c.program, args...)
 	cmd.Env = append(os.Environ(), roleEnv+"=1")
 	cmd.Stdout, cmd.Stderr = out, out
 	assert.NilError(c.t, cmd.Start())
--- a/cmd/lagooncourse/soak_test.go
+++ b/cmd/lagooncourse/soak_test.go
@@ -1,14 +1,17 @@
 package main
 
 import (
+	"cmp"
 	"encoding/json"
 	"errors"
 	"flag"
 	"fmt"
 	"math/rand"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -61,6 +64,9 @@
 	soakCancelTime = 12 * time.Second        // until a cancelling is acknowledged at last
 )
 
+// soakMemoryMiB is the memory of a host of the small sites.
+const soakMemoryMiB = 284
+
 var soakCapacity = jobs.Size{CPU: 8_000, Mem: 8_000} // of each worker
 
 // soakQueue is a queue of a soak. Its path prefix is its name between slashes.
@@ -88,11 +94,16 @@
 	queues []soakQueue
 	teams  []soakTeam
 	cuts   bool // each host reaches the store through a proxy of its own
+
+	program     string // of the hosts; the test binary if empty
+	memoryMiB   int    // of each host; soakMemoryMiB if 0
+	descriptors int    // of each host; not in the settings if 0
 }
 
 // soakHost is one entry host.
 type soakHost struct {
 	ip, settings, api string
+	ready, metrics    string
 
 	mu       sync.Mutex
 	cmd      *exec.Cmd
@@ -194,6 +205,8 @@
 	s.writeEntries()
 	go s.tick(s.stop)
 	port := strings.Split(freeAddr(t), ":")[1]
+	peerPort, err := strconv.Atoi(port)
+	assert.NilError(t, err)
 	freeAddr(t) // the port after it is that of the metrics
 	for i := range cfg.hosts {
 		ip := fmt.Sprintf("127.0.0.%d", i+2)
@@ -205,7 +218,7 @@
 			proxy, addr := startStoreProxy(t, storeAddr)
 			s.proxies, storeAddr = append(s.proxies, proxy), addr
 		}
-		h := &soakHost{ip: ip, settings: filepath.Join(s.dir, fmt.Sprintf("host%d.toml", i)), api: strings.Replace(freeAddr(t), "127.0.0.1", ip, 1)}
+		h := &soakHost{ip: ip, settings: filepath.Join(s.dir, fmt.Sprintf("host%d.toml", i)), api: strings.Replace(freeAddr(t), "127.0.0.1", ip, 1), ready: strings.Replace(freeAddr(t), "127.0.0.1", ip, 1), metrics: net.JoinHostPort(ip, strconv.Itoa(peerPort+1))}
 		text := fmt.Sprintf(`nodeName = "h%d"
 ip = %q
 zone = "x"
@@ -216,7 +229,8 @@
 ready = %q
 [limits]
 cpuShare = 1.0
-memoryMb = 284
+memoryMb = %d
+fileDescriptors = %d
 [bounds]
 graceS = %g
 status_s = 120
@@ -226,7 +240,7 @@
 form = "log"
 recordBytes = 262144
 callBytes = 2097152
-`, i, ip, port, adviceAddr, h.api, strings.Replace(freeAddr(t), "127.0.0.1", ip, 1), soakGrace.Seconds(), storeAddr)
+`, i, ip, port, adviceAddr, h.api, h.ready, cmp.Or(cfg.memoryMiB, soakMemoryMiB), cfg.descriptors, soakGrace.Seconds(), storeAddr)
 		assert.NilError(t, os.WriteFile(h.settings, []byte(text), 0o600))
 		s.hosts = append(s.hosts, h)
 		s.startHost(h)
@@ -294,7 +308,7 @@
 	if h.cmd != nil {
 		return
 	}
-	cmd := exec.Command(os.Args[0], "serve", "--settings", h.settings)
+	cmd := exec.Command(cmp.Or(s.cfg.program, os.Args[0]), "serve", "--settings", h.settings)
 	cmd.Env = append(os.Environ(), roleEnv+"=1")
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // a host that outlives the test would call the workers of the next one
 	out, err := os.OpenFile(h.settings+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
