Bound what callers can make a process hold

In a trial of the users, clients outside the limits ended a process for lack of memory. Cause: nothing bounded connections, heads, bodies and decoded bodies together. A legal body of empty steps alone took a hundred times its size once it was decoded, and a head of many lines fourteen times its size.

One account of a quarter of the machine's memory now counts connections, heads and bodies (package budget). What does not fit makes the slowest request that is still arriving give way, or is refused with 503, which says truthfully that nothing ran, or by closing the connection. Connections have a maximum for each address, requests and writes a time limit, four bodies are decoded at once, and the steps of a job beyond the limit are not decoded. The own interface takes its memory and descriptors from a new section [limits].

--- a/cmd/lagooncourse/cluster_test.go
+++ b/cmd/lagooncourse/cluster_test.go
@@ -69,6 +69,7 @@
 	retention string
 	lease     string // of workers; "2s" by default
 	program   string // of the processes; the test binary if empty
+	limits    string // section of the entry hosts' settings; none if empty
 }
 
 var azs = []string{"a", "b", "c"}
@@ -159,14 +160,14 @@
 		if i == 0 {
 			log = "http://" + c.proxy.ln.Addr().String()
 		}
-		c.writeHost(h, azs[i%len(azs)], log, cfg.lease, peers)
+		c.writeHost(h, azs[i%len(azs)], log, cfg.lease, cfg.limits, peers)
 		c.startHost(h)
 	}
 	c.waitFor("every entry host is ready", c.ready)
 	return c
 }
 
-func (c *cluster) writeHost(h *hostProc, az, log, lease string, peers []string) {
+func (c *cluster) writeHost(h *hostProc, az, log, lease, limits string, peers []string) {
 	h.path = c.writeFile(h.id+".ini", fmt.Sprintf(`[host]
 id = %s
 az = %s
@@ -183,7 +184,7 @@
 renew = 500ms
 lease = %s
 margin = 500ms
-`, h.id, az, h.api, h.peer, strings.Join(peers, ", "), log, c.fleet, c.execs, lease))
+%s`, h.id, az, h.api, h.peer, strings.Join(peers, ", "), log, c.fleet, c.execs, lease, limits))
 }
 
 func (c *cluster) writeFile(name, text string) string {
--- a/cmd/lagooncourse/crowd_test.go
+++ b/cmd/lagooncourse/crowd_test.go
@@ -356,7 +356,7 @@
 func TestCrowdAtOwnInterface(t *testing.T) {
 	for _, k := range crowdKinds {
 		t.Run(k.name, func(t *testing.T) {
-			c := startCluster(t, clusterConfig{hosts: 1, workers: 4, executors: 1, workMs: 1, program: crowdProgramPath(t)})
+			c := startCluster(t, clusterConfig{hosts: 1, workers: 4, executors: 1, workMs: 1, program: crowdProgramPath(t), limits: fmt.Sprintf("\n[limits]\nmemoryMiB = %d\ndescriptors = %d\n", crowdMemoryMiB, crowdDescriptors)})
 			h := c.hosts[0]
 			key := c.createTeam("lab", largeLimit)
 			target := &crowdTarget{pid: h.cmd.Process.Pid, addr: h.api, path: "/jobs", key: key, body: crowdOwnBody, ordinary: func() (string, error) {
--- a/internal/base/httpd/drain.go
+++ b/internal/base/httpd/drain.go
@@ -17,6 +17,7 @@
 
 	"golang.org/x/sys/unix"
 
+	"lagooncourse/internal/base/budget"
 	"lagooncourse/internal/base/clock"
 	"lagooncourse/internal/base/fault"
 )
@@ -192,15 +193,18 @@
 	s.mu.Unlock()
 	c.mu.Lock()
 	c.idle = state == http.StateNew || state == http.StateIdle
+	c.idleAt = time.Now()
 	c.reading = false
 	c.mu.Unlock()
+	c.changed(state)
 }
 
 // listener wraps accepted connections in conn. It may be closed repeatedly.
 type listener struct {
 	net.Listener
-	once sync.Once
-	err  error // of the first close
+	server *Server
+	once   sync.Once
+	err    error // of the first close
 }
 
 func (l *listener) Close() error {
@@ -208,23 +212,34 @@
 	return l.err
 }
 
+// Accept returns the next connection for which there is room.
 func (l *listener) Accept() (net.Conn, error) {
-	nc, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		nc, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &conn{Conn: nc}
+		if l.server.admit(c) {
+			return c, nil
+		}
+		l.server.refuse(nc)
 	}
-	return &conn{Conn: nc}, nil
 }
 
 // conn is a connection that can be retired between two requests.
 type conn struct {
 	net.Conn
-
-	mu      sync.Mutex
-	idle    bool // no request is being served
-	reading bool // the server has begun to read while idle, so it holds no complete request
-	unread  bool // bytes were received after the last response was written
-	retired bool
+	holder *budget.Holder // nil without an account
+
+	mu        sync.Mutex
+	idle      bool      // no request is being served
+	idleAt    time.Time // when the state changed last
+	writingAt time.Time // when the write under way began; zero if there is none
+	reading   bool      // the server has begun to read while idle, so it holds no complete request
+	unread    bool      // bytes were received after the last response was written
+	retired   bool
+	evicted   bool
 }
 
 // Read reads from the connection. On a retired connection it drops what the client
@@ -232,7 +247,11 @@
 func (c *conn) Read(p []byte) (int, error) {
 	c.mu.Lock()
 	c.reading = c.idle
+	head, evicted := c.idle, c.evicted
 	c.mu.Unlock()
+	if evicted {
+		return 0, errEvicted
+	}
 	for {
 		n, err := c.Conn.Read(p)
 		c.mu.Lock()
@@ -242,6 +261,8 @@
 		}
 		c.mu.Unlock()
 		switch {
+		case !retired && head && n > 0:
+			return n, errors.Join(err, c.account(p[:n]))
 		case !retired:
 			return n, err
 		case err != nil:
@@ -254,8 +275,14 @@
 func (c *conn) Write(p []byte) (int, error) {
 	c.mu.Lock()
 	c.unread = false
+	c.writingAt = time.Now()
+	c.mu.Unlock()
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTimeout)) // an error means that the connection is closed
+	n, err := c.Conn.Write(p)
+	c.mu.Lock()
+	c.writingAt = time.Time{}
 	c.mu.Unlock()
-	return c.Conn.Write(p)
+	return n, err
 }
 
 // retire sends the final response on an idle connection of which every received
--- a/internal/base/httpd/json.go
+++ b/internal/base/httpd/json.go
@@ -72,30 +72,40 @@
 	if err != nil {
 		return v, err
 	}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&v); err != nil {
-		return v, jsonError(err)
-	}
-	if dec.More() {
-		return v, fault.InvalidField("body", "", "has data after the JSON value")
-	}
-	return v, nil
+	return Decode(func() (v T, err error) {
+		dec := json.NewDecoder(bytes.NewReader(data))
+		dec.DisallowUnknownFields()
+		if err := dec.Decode(&v); err != nil {
+			return v, jsonError(err)
+		}
+		if dec.More() {
+			return v, fault.InvalidField("body", "", "has data after the JSON value")
+		}
+		return v, nil
+	})
 }
 
 // ReadBody reads the whole body of r. A body of more than limit bytes is a
 // TooLarge error.
 func ReadBody(r *http.Request, limit int64) (data []byte, err error) {
-	data, err = io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, fault.New(fault.BadInput, fault.NotRun, "read request body: %v", err)
+	if r.ContentLength > limit {
+		return nil, errTooLarge(limit)
+	}
+	buf := bytes.NewBuffer(make([]byte, 0, max(r.ContentLength, 0)+bytes.MinRead)) // ReadFrom grows a buffer with less room than that
+	if _, err := buf.ReadFrom(io.LimitReader(r.Body, limit+1)); err != nil {
+		return nil, bodyError(err)
 	}
-	if int64(len(data)) > limit {
-		e := fault.New(fault.TooLarge, fault.NotRun, "body is longer than %d bytes", limit)
-		e.Field = "body"
-		return nil, e
+	if int64(buf.Len()) > limit {
+		return nil, errTooLarge(limit)
 	}
-	return data, nil
+	return buf.Bytes(), nil
+}
+
+// errTooLarge returns the error for a body of more than limit bytes.
+func errTooLarge(limit int64) error {
+	e := fault.New(fault.TooLarge, fault.NotRun, "body is longer than %d bytes", limit)
+	e.Field = "body"
+	return e
 }
 
 func jsonError(err error) error {
--- a/internal/base/httpd/server.go
+++ b/internal/base/httpd/server.go
@@ -34,6 +34,7 @@
 	"github.com/zeromicro/go-zero/rest"
 
 	"lagooncourse/internal/base/fault"
+	"lagooncourse/internal/base/logs"
 )
 
 // Config configures a Server.
@@ -45,6 +46,7 @@
 	// whose paths are known only at run time and cannot be written as route patterns.
 	Handler http.Handler
 	Logger  logr.Logger
+	Limits  Limits // what callers can make the process hold; see limits.go
 }
 
 // Server is an HTTP server with an open listener.
@@ -52,6 +54,11 @@
 	ln      *listener
 	http    *http.Server
 	log     logr.Logger
+	limits  Limits
+	refused atomic.Int64 // connections for which there was no room
+
+	refusals logs.Limiter // of the log lines about them
+
 	leaving atomic.Bool
 	serving atomic.Bool   // Serve has been called
 	served  chan struct{} // closed when Serve returns
@@ -84,18 +91,31 @@
 	if err != nil {
 		return nil, merry.Wrap(err)
 	}
-	s = &Server{ln: &listener{Listener: ln}, log: cfg.Logger.WithName("httpd").WithValues("addr", ln.Addr().String()), conns: map[*conn]bool{}, served: make(chan struct{})}
+	s = &Server{limits: cfg.Limits, log: cfg.Logger.WithName("httpd").WithValues("addr", ln.Addr().String()), conns: map[*conn]bool{}, served: make(chan struct{})}
+	s.refusals = logs.Limiter{Lines: 1, Interval: time.Second}
+	s.ln = &listener{Listener: ln, server: s}
 	s.requests, s.endRequests = context.WithCancel(context.Background())
 	s.http = &http.Server{
 		BaseContext:       func(net.Listener) context.Context { return s.requests },
-		Handler:           s.closeWhenLeaving(cfg.Handler),
+		ConnContext:       withConn,
+		Handler:           s.closeWhenLeaving(accountBodies(cfg.Handler)),
 		ConnState:         s.connState,
 		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readTimeout,
+		IdleTimeout:       -1, // clients keep their connections
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return s, nil
 }
 
+// withConn adds the connection to the context of its requests.
+func withConn(ctx context.Context, nc net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, nc)
+}
+
+// Refused returns the number of connections for which there was no room.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
 // router returns go-zero's router with the routes of cfg. Of go-zero's middleware
 // it enables only panic recovery.
 func router(cfg Config) (http.Handler, error) {
--- a/internal/node/entry/host.go
+++ b/internal/node/entry/host.go
@@ -121,10 +121,12 @@
 // listen opens the listeners for callers and for peers.
 func (h *Host) listen() (err error) {
 	h.metrics = newMetrics(h)
-	h.api, err = httpd.Listen(httpd.Config{Name: "entry", Addr: h.settings.Host.Listen, Routes: h.routes(), Logger: h.log})
+	callers, _ := h.settings.machine().Limits()
+	h.api, err = httpd.Listen(httpd.Config{Name: "entry", Addr: h.settings.Host.Listen, Routes: h.routes(), Logger: h.log, Limits: callers})
 	if err != nil {
 		return err
 	}
+	httpd.RegisterMetrics(h.metrics.registry, callers.Account, h.api)
 	h.peerServer = frame.NewServer(frame.ServerConfig{Addr: h.settings.Host.Peer})
 	h.registerHandlers()
 	return h.peerServer.Listen()
--- a/internal/node/entry/settings.go
+++ b/internal/node/entry/settings.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"lagooncourse/internal/base/conf"
+	"lagooncourse/internal/base/httpd"
 	"lagooncourse/internal/node/owner"
 )
 
@@ -49,6 +50,11 @@
 		OperatorKeyHash string        `ini:"operatorKeyHash" doc:"SHA-256 of the operators' key in hexadecimal; empty admits operators from the loopback address only"`
 	} `ini:"api"`
 
+	Limits struct {
+		Memory      int64 `ini:"memoryMiB" def:"0" min:"0" max:"16777216" doc:"memory that the process may use; callers may use a quarter of it; 0 takes the memory of the machine"`
+		Descriptors int   `ini:"descriptors" def:"0" min:"0" max:"16777216" doc:"file descriptors that the process may use; callers may use half of them; 0 takes the limit of the process"`
+	} `ini:"limits"`
+
 	Logs struct {
 		Level string `ini:"level" def:"info" oneof:"debug,info,error" doc:"least severe line that is written"`
 	} `ini:"logs"`
@@ -108,3 +114,16 @@
 	t.Retention, t.SnapshotInterval = s.Timing.Keep, s.Timing.Snapshot
 	return t
 }
+
+// machine returns what the process may use. A limit that is neither set nor known bounds
+// nothing.
+func (s Settings) machine() httpd.Machine {
+	m, _ := httpd.ThisMachine() // fails only for a kernel that lacks the calls
+	if s.Limits.Memory > 0 {
+		m.MemoryBytes = s.Limits.Memory << 20
+	}
+	if s.Limits.Descriptors > 0 {
+		m.Descriptors = s.Limits.Descriptors
+	}
+	return m
+}
--- a/internal/node/gate/api.go
+++ b/internal/node/gate/api.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -11,6 +10,7 @@
 	"lagooncourse/internal/base/fault"
 	"lagooncourse/internal/base/frame"
 	"lagooncourse/internal/base/httpd"
+	"lagooncourse/internal/cell/sched"
 )
 
 // Timeouts and limits of a client request.
@@ -144,14 +144,11 @@
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	body, err := httpd.ReadBody(r, limit)
 	if err != nil {
-		return c, fault.InvalidField("body", "", "failed to read: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return c, fault.New(fault.TooLarge, fault.NotRun, "the body exceeds the limit of %d bytes", limit)
+		return c, err
 	}
-	c.Spec, err = h.cfg.Codec.Job(c.ID, body)
+	c.Spec, err = httpd.Decode(func() (sched.Spec, error) { return h.cfg.Codec.Job(c.ID, body) })
 	if err != nil {
 		return c, err
 	}
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -62,9 +62,10 @@
 	Listen     string // IP:port for client requests
 	Ready      string // IP:port of the readiness check
 	ReadyPath  string
-	PeerPort   int   // for calls between entry hosts; the same on all of them
-	MetricPort int   // 0 disables metrics
-	CPUMillis  int64 // CPU limit of the process in millicores; 0 if unknown
+	PeerPort   int           // for calls between entry hosts; the same on all of them
+	MetricPort int           // 0 disables metrics
+	CPUMillis  int64         // CPU limit of the process in millicores; 0 if unknown
+	Machine    httpd.Machine // bounds what callers can make the process hold
 
 	Store   ports.Store
 	Workers ports.Workers
@@ -198,28 +199,30 @@
 		return err
 	}
 	h.peerServer.Serve()
-	h.apiServer, err = httpd.Listen(httpd.Config{Name: "gate", Addr: h.cfg.Listen, Handler: http.HandlerFunc(h.serveAPI), Logger: h.log})
+	callers, checks := h.cfg.Machine.Limits()
+	h.apiServer, err = httpd.Listen(httpd.Config{Name: "gate", Addr: h.cfg.Listen, Handler: http.HandlerFunc(h.serveAPI), Logger: h.log, Limits: callers})
 	if err != nil {
 		return err
 	}
 	h.serve(h.apiServer)
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc(h.cfg.ReadyPath, h.serveReady)
-	if err := h.listenAux(h.cfg.Ready, readyMux); err != nil {
+	if err := h.listenAux(h.cfg.Ready, readyMux, checks); err != nil {
 		return err
 	}
+	defer func() { httpd.RegisterMetrics(h.reg, callers.Account, append(h.auxServers, h.apiServer)...) }()
 	if h.cfg.MetricPort == 0 {
 		return nil
 	}
 	metricsMux := http.NewServeMux()
 	metricsMux.Handle("/metrics", promhttp.HandlerFor(h.reg, promhttp.HandlerOpts{}))
 	metricsMux.HandleFunc("/dump", h.serveDump)
-	return h.listenAux(net.JoinHostPort(h.cfg.IP, strconv.Itoa(h.cfg.MetricPort)), metricsMux)
+	return h.listenAux(net.JoinHostPort(h.cfg.IP, strconv.Itoa(h.cfg.MetricPort)), metricsMux, checks)
 }
 
 // listenAux serves the readiness check or the metrics on their own address.
-func (h *Host) listenAux(addr string, handler http.Handler) error {
-	s, err := httpd.Listen(httpd.Config{Addr: addr, Handler: handler})
+func (h *Host) listenAux(addr string, handler http.Handler, limits httpd.Limits) error {
+	s, err := httpd.Listen(httpd.Config{Addr: addr, Handler: handler, Logger: h.log, Limits: limits})
 	if err != nil {
 		return err
 	}
--- a/internal/tool/cmds/daemon.go
+++ b/internal/tool/cmds/daemon.go
@@ -6,6 +6,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -48,6 +49,9 @@
 func runEntry(set entry.Settings, w io.Writer) error {
 	ctx, cancel := signalContext()
 	defer cancel()
+	if m := set.Limits.Memory; m > 0 {
+		debug.SetMemoryLimit(int64(float64(m<<20) * heapFraction))
+	}
 	h, err := entry.Start(entry.Config{Settings: set, Logger: logs.New(w, set.Logs.Level)})
 	if err != nil {
 		return err
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -11,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"lagooncourse/internal/base/httpd"
 	"lagooncourse/internal/base/logs"
 	"lagooncourse/internal/node/gate"
 	"lagooncourse/platform"
@@ -105,7 +106,8 @@
 	return gate.Config{
 		Host: set.Host, IP: set.IP, Az: set.Az, Listen: set.Frontend, Ready: set.Ready, ReadyPath: platform.ReadyPath,
 		PeerPort: set.PeerPort, MetricPort: set.MetricPort, CPUMillis: int64(set.Cores * 1000),
-		Store: client, Workers: client, Adviser: client,
+		Machine: httpd.Machine{MemoryBytes: set.MemoryMiB << 20, Descriptors: set.Descriptors},
+		Store:   client, Workers: client, Adviser: client,
 		Codec: gate.Codec{
 			Job: platform.ParseJob, JobID: platform.ParseJobID, Key: platform.KeyOf, Deadline: platform.DeadlineOf, State: platform.StateBody, Pending: platform.PendingBody,
 		},
