Keep tasks apart that slow each other down

Some tasks slow each other down on one worker, and nobody knows which beforehand. The planner now records which images ran beside each run, learns from the run times which pairs clash (package clash), and prefers workers without such a task.

--- a/internal/cell/sched/estimate.go
+++ b/internal/cell/sched/estimate.go
@@ -117,6 +117,16 @@
 	e.images[key].add(took)
 }
 
+// slowdownOf returns the run time of a task by the mean run time of its image and the usual
+// slowdown of the worker; 0 if too little is known of either.
+func (e estimator) slowdownOf(queue, worker string, s Step, ms int64) float64 {
+	image, usual := e.images[imageKey{queue, s.Image}], e.slowdowns[worker]
+	if image == nil || usual == nil || image.samples < minSamples || usual.samples < minSamples {
+		return 0
+	}
+	return float64(ms) / (image.value * usual.value)
+}
+
 // slowdownClasses is the number of slowdown classes. A higher class means slower
 // runs.
 const slowdownClasses = 4
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -49,6 +49,7 @@
 func (p *Planner) Plan(hosts AdviceHosts, now Instant) Plan {
 	plan := Plan{hosts: hosts}
 	p.plannedCommon = p.lossesCommon(now)
+	p.interference.update(now)
 	for _, si := range p.firstSteps(maxPlanSteps, now) {
 		if len(plan.Starts) >= maxPlanStarts {
 			break
@@ -217,6 +218,7 @@
 	w        *Worker
 	slots    int
 	remote   bool  // not in the rack that holds the data
+	clashes  int   // tasks that clash with those of the step; see interfere.go
 	reserved bool  // reserved for a gang of lower priority
 	suspect  bool  // another suspect has just started there, or it was lost recently; see crash.go
 	probing  bool  // on probation, and the step is a gang, which would fail as a whole
@@ -237,6 +239,9 @@
 	if s.Gang && s.SameRack {
 		list = oneRack(list, n)
 	}
+	if p.interference != nil && len(list) > 0 {
+		p.interference.changed += changedByClashes(list, n)
+	}
 	var out []*Worker
 	for _, c := range list {
 		for range c.slots {
@@ -249,6 +254,21 @@
 	return out
 }
 
+// changedByClashes returns how many of n tasks are placed on another worker because of tasks
+// that clash, given all options in order.
+func changedByClashes(list []placementOption, n int) (changed int) {
+	skipped := 0 // tasks that the clashing workers with less free CPU would have taken
+	for _, o := range list {
+		if o.clashes > 0 && o.freeCPU < list[0].freeCPU {
+			skipped += o.slots
+		}
+	}
+	if list[0].clashes > 0 {
+		return 0
+	}
+	return min(skipped, n)
+}
+
 // placementOptions returns the workers on which tasks of a step instance can be placed.
 // A gang takes workers on probation last. If the step has a suspect, workers without
 // another one go first. Then come workers near the data, unreserved ones, then fast ones,
@@ -273,10 +293,10 @@
 		}
 		list = append(list, placementOption{
 			w: w, slots: free, remote: s.DataRack != "" && w.Rack != s.DataRack, reserved: now.Ms < w.reservation.untilMs && w.reservation.stepKey != si.key(),
-			slowdown: p.estimator.slowdownClass(w.ID), freeCPU: w.free().CPU - s.Size.CPU,
+			slowdown: p.estimator.slowdownClass(w.ID), freeCPU: w.free().CPU - s.Size.CPU, clashes: p.clashesOn(w, s.Image),
 			suspect: avoidSuspects && p.avoidedBySuspects(w, now), probing: s.Gang && p.trust.State(w.ID, now.Ms) == trust.Probing,
 		})
-		if o := list[len(list)-1]; simple && !o.reserved && o.slowdown == 0 {
+		if o := list[len(list)-1]; simple && o.clashes == 0 && !o.reserved && o.slowdown == 0 {
 			best += free
 		}
 	}
@@ -290,6 +310,9 @@
 		if list[a].remote != list[b].remote {
 			return !list[a].remote
 		}
+		if list[a].clashes != list[b].clashes {
+			return list[a].clashes < list[b].clashes
+		}
 		if list[a].reserved != list[b].reserved {
 			return !list[a].reserved
 		}
@@ -451,6 +474,7 @@
 	p.lastSerial++
 	p.allocate(w, &allocation{
 		ref: ref, run: run, serial: p.lastSerial, size: si.spec().demand(), team: si.job.Spec.Team, phase: phaseIntent, phaseStartMs: now.Ms, runMs: runMs, endMs: now.Ms + runMs,
+		resumed: t.Checkpoint != "",
 	})
 	t.beginTrial(ref, w, alone)
 	p.dirty[ref.Job] = true
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -78,6 +78,7 @@
 	RetentionMs      int64  // how long an ended job is retained
 	RecordBytes      int    // longest record that the store takes; 0 means 256 KiB
 	AppendBytes      int    // longest append that the store takes; 0 means 2 MiB
+	Interference     bool   // keeps tasks apart that slow each other down; see interfere.go
 }
 
 // Margins added to the duration of a lease.
@@ -158,6 +159,7 @@
 	losses         []*workerLoss           // losses of workers within lossWindowMs
 	verdicts       map[Ref]pendingVerdict  // suspects that will be given up
 	plannedCommon  bool                    // losses were common when the last plan began
+	interference   *interference           // nil unless Config.Interference is set
 	indexes        map[string]*index       // by worker pool; see index.go
 	unindexed      []*Worker               // that were not available in the last plan, or are new
 	scratch        []*Worker               // reused by candidatesFor
@@ -177,7 +179,7 @@
 		steps: map[stepKey]*stepInstance{}, waiting: map[stepKey]*stepInstance{}, dirty: map[string]bool{},
 		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{MaxQuarantineMs: maxQuarantineMs}), allowedShares: map[string]*allowedShare{},
 		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]pendingVerdict{}, setAside: map[string]bool{},
-		cancels: map[string]*followedCancel{}, denied: map[string]bool{}, indexes: map[string]*index{},
+		cancels: map[string]*followedCancel{}, denied: map[string]bool{}, interference: newInterference(cfg.Interference), indexes: map[string]*index{},
 	}
 	for id, j := range cfg.State.Jobs {
 		p.storedJobs[id] = true
@@ -262,6 +264,7 @@
 
 func (p *Planner) release(w *Worker, r Ref) {
 	if a := w.release(r); a != nil {
+		p.noteOverlap(w, a)
 		p.used[a.team] = p.used[a.team].Minus(a.size)
 		p.noteGone(r.Job)
 	}
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -482,6 +482,7 @@
 	}
 	if a != nil && a.run == f.Run && a.phase == phaseRunning && f.Reason == EndDone && j.task(ref) != nil {
 		p.runsRecorded++
+		p.recordInterference(w, a, j.Spec.Queue, j.Spec.Steps[ref.Step], now)
 		p.estimator.recordRun(j.Spec.Queue, w.ID, j.Spec.Steps[ref.Step], now.Ms-a.phaseStartMs)
 	}
 	t := j.task(ref)
--- a/internal/cell/sched/worker.go
+++ b/internal/cell/sched/worker.go
@@ -37,6 +37,9 @@
 	settled      bool  // the worker has listed it as active settleMs after its start
 	survived     bool  // the worker has listed it as active crashWindowMs after its start
 	workerLeft   bool  // the worker was leaving when it restarted
+	resumed      bool  // it continues from a checkpoint
+
+	beside map[string]int64 // how long tasks of other images ran beside it, in ms by image; see interfere.go
 }
 
 // Worker is a worker with its allocations.
--- a/internal/node/gate/claim.go
+++ b/internal/node/gate/claim.go
@@ -352,7 +352,7 @@
 		Claim: c, JobTopic: h.cfg.JobTopic, State: s, Store: h.store, Workers: h.cfg.Workers, AdviceClient: h.adviceHosts,
 		WorkerTopic: h.cfg.WorkerTopic, ParseWorker: h.cfg.ParseWorker, WorkerID: h.cfg.WorkerID, Policy: h.config.policy(),
 		Clock: h.clock, Logger: h.cfg.Logger, Metrics: h.leadMetrics, RetentionMs: h.cfg.RetentionMs, MaxLeaseMs: h.cfg.MaxLeaseMs,
-		RecordBytes: h.cfg.RecordBytes, AppendBytes: h.cfg.AppendBytes,
+		RecordBytes: h.cfg.RecordBytes, AppendBytes: h.cfg.AppendBytes, Interference: h.cfg.Interference,
 	})
 	h.localOwner, h.claimRequested = o, false
 	h.ownerSince = h.clock.Now()
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -81,12 +81,13 @@
 	ParseWorker      func(key string, value []byte) (sched.WorkerInfo, error) // decodes a worker registry record
 	WorkerID         func(key string) string                                  // worker ID in the key of a registry record
 
-	RetentionMs int64 // retention time of ended jobs
-	MaxLeaseMs  int64 // longest lease that a worker grants, in ms
-	RecordBytes int   // longest record that the store takes; 0 means the default of package sched
-	AppendBytes int   // longest append that the store takes; 0 means the default of package sched
-	Clock       clock.Clock
-	Logger      logr.Logger
+	RetentionMs  int64 // retention time of ended jobs
+	MaxLeaseMs   int64 // longest lease that a worker grants, in ms
+	RecordBytes  int   // longest record that the store takes; 0 means the default of package sched
+	AppendBytes  int   // longest append that the store takes; 0 means the default of package sched
+	Interference bool  // see sched.Config
+	Clock        clock.Clock
+	Logger       logr.Logger
 
 	DroppedLines func() int64 // log lines that this process has dropped; nil if unknown
 }
--- a/internal/node/gate/metrics.go
+++ b/internal/node/gate/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"lagooncourse/internal/base/guard"
+	"lagooncourse/internal/cell/clash"
 )
 
 // metrics holds the metrics of an entry host.
@@ -47,15 +48,16 @@
 
 // dump is the document of the /dump endpoint: the state of a host for operators.
 type dump struct {
-	Host          string     `json:"host"`
-	Owner         string     `json:"owner"`
-	Epoch         int64      `json:"epoch"`
-	OwnerAgeMs    int64      `json:"ownerAgeMs"`
-	IsOwner       bool       `json:"isOwner"`
-	ConfigVersion int64      `json:"siteVersion"`
-	ConfigAgeMs   int64      `json:"siteAgeMs"`
-	Next          int64      `json:"next"` // offset of the replica; 0 while it is in use
-	Peers         []peerDump `json:"peers"`
+	Host          string       `json:"host"`
+	Owner         string       `json:"owner"`
+	Epoch         int64        `json:"epoch"`
+	OwnerAgeMs    int64        `json:"ownerAgeMs"`
+	IsOwner       bool         `json:"isOwner"`
+	ConfigVersion int64        `json:"siteVersion"`
+	ConfigAgeMs   int64        `json:"siteAgeMs"`
+	Next          int64        `json:"next"` // offset of the replica; 0 while it is in use
+	Peers         []peerDump   `json:"peers"`
+	Clashes       []clash.Pair `json:"clashes,omitempty"` // images of which one slows the other down, at the owner
 }
 
 // peerDump is the state of a peer for operators.
@@ -82,7 +84,11 @@
 	for _, p := range h.peers {
 		d.Peers = append(d.Peers, peerDump{p.addr, p.az, now.Sub(p.lastContact).Milliseconds(), p.leaving, p.storeOK})
 	}
+	o := h.localOwner
 	h.mu.Unlock()
+	if o != nil && o.Stalled() == 0 {
+		d.Clashes = o.Interference().Pairs
+	}
 	w.Header().Set("Content-Type", "application/json")
 	enc := json.NewEncoder(w)
 	enc.SetIndent("", "  ")
--- a/internal/node/lead/metrics.go
+++ b/internal/node/lead/metrics.go
@@ -25,6 +25,9 @@
 	isolationHeldWorkers prometheus.Gauge
 	isolationHeldCores   prometheus.Gauge
 	isolationCoreSeconds prometheus.Counter
+
+	interferencePairs   prometheus.Gauge
+	interferenceChanged prometheus.Gauge
 }
 
 // latencyBuckets are the bucket limits in seconds, from one round trip to the
@@ -82,6 +85,13 @@
 	m.isolationCoreSeconds = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "lagooncourse_isolation_held_core_seconds_total", Help: "Integral of lagooncourse_isolation_held_cores over time.",
 	})
+	m.interferencePairs = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "lagooncourse_interference_pairs", Help: "Pairs of images of which one is known to slow the other down.",
+	})
+	m.interferenceChanged = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "lagooncourse_interference_placements", Help: "Tasks that this owner has placed on another worker to keep them apart.",
+	})
+	reg.MustRegister(m.interferencePairs, m.interferenceChanged)
 	reg.MustRegister(m.appends, m.starts, m.heartbeats, m.adviceRequests, m.stops, m.lingering, m.cancels)
 	reg.MustRegister(m.isolationWaiting, m.isolationOldest, m.isolationHeldWorkers, m.isolationHeldCores, m.isolationCoreSeconds)
 	for _, kind := range []string{stopFirst, stopAgain, stopNotSent} {
@@ -155,6 +165,15 @@
 	m.isolationHeldCores.Set(float64(c.HeldCPU) / 1000)
 }
 
+// setInterference sets what is known of clashing images.
+func (m *Metrics) setInterference(i sched.Interference) {
+	if m == nil {
+		return
+	}
+	m.interferencePairs.Set(float64(len(i.Pairs)))
+	m.interferenceChanged.Set(float64(i.Changed))
+}
+
 // addHeldCoreSeconds adds to the core-seconds that isolation has held.
 func (m *Metrics) addHeldCoreSeconds(v float64) {
 	if m != nil {
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -68,6 +68,7 @@
 	MaxLeaseMs   int64 // longest lease that a worker grants, in ms
 	RecordBytes  int   // longest record that the store takes; 0 means the default of package sched
 	AppendBytes  int   // longest append that the store takes; 0 means the default of package sched
+	Interference bool  // see sched.Config
 }
 
 // Intervals, timeouts and limits of an owner.
@@ -129,6 +130,7 @@
 	validFrom        time.Duration // lastConfirmed as Clock.Elapsed; see mayAct
 	lastWaitingLog   time.Time     // time of the last log lines about steps that wait for long
 	isolation        isolationSample
+	clashes          map[string]bool // pairs of images that were logged
 
 	withdrawals logs.Limiter // of the log lines about submissions that were taken back
 	oddEntries  logs.Limiter // of the log lines about invalid registry entries
@@ -173,7 +175,7 @@
 	o.plannedAt.Store(int64(cfg.Clock.Elapsed()))
 	o.planner = sched.NewPlanner(sched.Config{
 		State: cfg.State, PrevOwnerRenewMs: maxConfirmAgeMs, LeaseMs: o.leaseDurationMs(), MaxLeaseMs: cfg.MaxLeaseMs, RetentionMs: cfg.RetentionMs,
-		RecordBytes: cfg.RecordBytes, AppendBytes: cfg.AppendBytes,
+		RecordBytes: cfg.RecordBytes, AppendBytes: cfg.AppendBytes, Interference: cfg.Interference,
 	}, o.now())
 	o.planner.SetPolicy(cfg.Policy)
 	o.log.Info("took over", "jobs", len(cfg.State.Jobs), "offset", cfg.State.NextOffset)
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -57,6 +57,7 @@
 	o.logEndings()
 	o.noteLingering()
 	o.noteIsolation(now)
+	o.noteInterference()
 	for _, id := range o.planner.TakeFullJobs() {
 		o.log.Info("checkpoints of job are too long, keeping earlier ones", "job", id)
 	}
--- a/internal/tool/cmds/platform.go
+++ b/internal/tool/cmds/platform.go
@@ -35,6 +35,7 @@
 func newServe() *cobra.Command {
 	var path string
 	var metrics int
+	var interference bool
 	cmd := &cobra.Command{
 		Use: "serve [--settings FILE.toml]", Short: "Run the daemon of an entry host on the users' platform", Args: exactArgs(0),
 		RunE: func(cmd *cobra.Command, _ []string) error {
@@ -49,17 +50,18 @@
 			if metrics > 0 {
 				set.MetricPort = metrics
 			}
-			return runServe(ctx, reload, path, set, cmd.OutOrStdout())
+			return runServe(ctx, reload, path, set, interference, cmd.OutOrStdout())
 		},
 	}
 	cmd.Flags().StringVar(&path, "settings", os.Getenv(platform.SettingsEnv), "settings file of the platform")
+	cmd.Flags().BoolVar(&interference, "interference", false, "learn which tasks slow each other down on one worker, and keep them apart where there is room")
 	cmd.Flags().IntVar(&metrics, "metrics", 0, "port of the metrics; 0 takes the second internal port")
 	return cmd
 }
 
 // runServe runs the daemon until ctx is done, then stops it. It reloads the settings on
 // each signal from reload.
-func runServe(ctx context.Context, reload <-chan os.Signal, settingsPath string, set platform.Settings, w io.Writer) error {
+func runServe(ctx context.Context, reload <-chan os.Signal, settingsPath string, set platform.Settings, interference bool, w io.Writer) error {
 	if set.MemoryMiB > 0 {
 		debug.SetGCPercent(gcPercent)
 		debug.SetMemoryLimit(int64(float64(set.MemoryMiB<<20) * heapFraction))
@@ -71,6 +73,7 @@
 	defer out.Close()
 	cfg := gateConfig(set, out)
 	cfg.DroppedLines = out.Dropped
+	cfg.Interference = interference
 	h, err := gate.Start(cfg)
 	if err != nil {
 		return err
