--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -15,6 +15,7 @@
 	allowed       []string                // workers that an answer allows; later answers about a worker are the same
 	openRequests  int                     // requests without a reply
 	nextRequestMs int64                   // no further request before this time
+	failures      int                     // failed requests since the last reply
 }
 
 // denies reports whether the advice service has denied the worker.
@@ -44,7 +45,8 @@
 	requestMargin       = 1.3  // factor on the number of workers needed on average
 	minRequestWorkers   = 4    // smaller requests cost nearly as much, and their replies often allow too few workers
 	maxRequestWorkers   = 100  // limit of the advice service
-	requestRetryMs      = 100  // delay after a failed request
+	requestRetryMs      = 100  // delay after a failed request, doubled with each further one
+	maxRequestRetryMs   = 3200 // a host pauses for 1 s after a failed request, so one step alone would keep all hosts from the others
 	ticketMarginMs      = 80   // time for a start to arrive before its ticket expires
 	costlyBaseMs        = 200  // BaseMs from which a request is costly: it asks about up to costlyMaxWorkers workers
 	costlyMaxWorkers    = 32   // workers in one costly request
@@ -222,7 +224,8 @@
 	}
 	si.advice.openRequests = max(si.advice.openRequests-1, 0)
 	si.retryAtMs, si.failedTries = 0, 0
-	si.advice.nextRequestMs = now.Ms + requestRetryMs
+	si.advice.nextRequestMs = now.Ms + int64(min(requestRetryMs<<min(si.advice.failures, 8), maxRequestRetryMs))
+	si.advice.failures++
 	q := p.queue(si)
 	if !ok || q.Advice == nil {
 		return
@@ -241,7 +244,7 @@
 		}
 		si.advice.answers[id] = adviceAnswer{allowed: allowed, ticket: t, untilMs: issuedMs + q.Advice.ValidMs, incarnation: worker.Incarnation}
 	}
-	si.advice.nextRequestMs = now.Ms
+	si.advice.nextRequestMs, si.advice.failures = now.Ms, 0
 	p.recordShare(q.Name, float64(len(tickets))/float64(max(len(req.Workers), 1)))
 }
 
