--- a/internal/cell/sched/order.go
+++ b/internal/cell/sched/order.go
@@ -31,11 +31,15 @@
 	deadlineMs int64 // in ms since 1970
 }
 
-// before orders by rank, priority and deadline.
+// before orders by rank, priority and deadline. Expired steps take turns: nothing tells them
+// apart any more, and a backlog of those that can't start would keep the others from being
+// tried.
 func (s *rankedStep) before(o *rankedStep) bool {
 	switch {
 	case s.rank != o.rank:
 		return s.rank < o.rank
+	case s.rank == rankExpired && s.si.triedMs != o.si.triedMs:
+		return s.si.triedMs < o.si.triedMs
 	case s.priority != o.priority:
 		return s.priority < o.priority
 	case s.deadlineMs != o.deadlineMs:
