--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -343,11 +343,26 @@
 	h.mu.Lock()
 	o := h.localOwner
 	h.mu.Unlock()
-	if o != nil {
+	if o == nil {
+		return
+	}
+	passed := make(chan struct{})
+	h.background("passing the configuration to the owner", func() {
+		defer close(passed)
 		h.passPolicy(o.SetPolicy)
+	})
+	select {
+	case <-passed:
+	case <-time.After(maxPolicyWait):
+		h.log.Info("the owner does not take the configuration", "epoch", o.Epoch(), "waitedMs", maxPolicyWait.Milliseconds())
 	}
 }
 
+// maxPolicyWait is how long the reader of the configuration waits for the owner to take a
+// new one. A stalled owner never does, and the host has to read further versions for its own
+// answers. The owner plans for milliseconds at a time.
+const maxPolicyWait = 500 * time.Millisecond
+
 // passPolicy passes the newest policy to set. The last of several calls at once passes the
 // newest one.
 func (h *Host) passPolicy(set func(sched.Policy)) {
