--- a/internal/plat/ports/ports.go
+++ b/internal/plat/ports/ports.go
@@ -233,6 +233,8 @@
 	Queues  []sched.Queue
 	Teams   []Team
 	Limits  Limits
+
+	Services []string // names of the worker pools
 }
 
 // OperatorKey is a parsed record key of the operators' topic. At most one field
--- a/internal/tool/cmds/daemon.go
+++ b/internal/tool/cmds/daemon.go
@@ -63,9 +63,10 @@
 }
 
 func newCheck() *cobra.Command {
-	var print, document bool
+	var print, document, asJSON bool
+	var against string
 	cmd := &cobra.Command{
-		Use: "check FILE.ini", Short: "Check a settings file of an entry host",
+		Use: "check FILE.ini | check --against CURRENT.json NEW.json", Short: "Check a settings file of an entry host, or a configuration of the operators before it is sent",
 		Args: func(cmd *cobra.Command, args []string) error {
 			if document {
 				return nil
@@ -77,6 +78,9 @@
 				conf.Document[entry.Settings](cmd.OutOrStdout())
 				return nil
 			}
+			if against != "" {
+				return checkConfig(cmd.OutOrStdout(), against, args[0], asJSON)
+			}
 			set, err := conf.Load[entry.Settings](args[0])
 			if err != nil {
 				return err
@@ -90,6 +94,8 @@
 		},
 	}
 	cmd.Flags().BoolVar(&print, "print", false, "print the effective settings with defaults")
+	cmd.Flags().StringVar(&against, "against", "", "configuration in force; checks another one before it is sent")
+	cmd.Flags().BoolVar(&asJSON, "json", false, "with --against, print the findings as JSON")
 	cmd.Flags().BoolVar(&document, "document", false, "print a table of all settings instead")
 	return cmd
 }
