Log requests that were not read at most once a second

A crowd whose bodies do not fit wrote one line for each refused request. They now share one line a second, "refused unread", with the number of those left out.

--- a/internal/base/httpd/json.go
+++ b/internal/base/httpd/json.go
@@ -104,7 +104,7 @@
 // errTooLarge returns the error for a body of more than limit bytes.
 func errTooLarge(limit int64) error {
 	e := fault.New(fault.TooLarge, fault.NotRun, "body is longer than %d bytes", limit)
-	e.Field = "body"
+	e.Field = bodyField
 	return e
 }
 
--- a/internal/base/httpd/limits.go
+++ b/internal/base/httpd/limits.go
@@ -265,15 +265,27 @@
 	}
 }
 
+// bodyField is the field in the error of a request whose body was not read to its end, or is
+// too large.
+const bodyField = "body"
+
+// IsUnread reports whether err is the error of such a request.
+func IsUnread(err error) bool {
+	e := fault.From(err)
+	return e != nil && e.Field == bodyField && (e.Code == fault.Unavailable || e.Code == fault.TooLarge)
+}
+
 // bodyError returns the error of a request whose body was not read to its end.
 func bodyError(err error) error {
+	e := fault.New(fault.BadInput, fault.NotRun, "read request body: %v", err)
 	switch {
 	case errors.Is(err, errNoRoom), errors.Is(err, errEvicted):
-		return fault.New(fault.Unavailable, fault.NotRun, "the request was not read: %v", err).WithRetryAfter(1)
+		e = fault.New(fault.Unavailable, fault.NotRun, "the request was not read: %v", err).WithRetryAfter(1)
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		return fault.New(fault.Unavailable, fault.NotRun, "the request did not arrive within %s", readTimeout).WithRetryAfter(1)
+		e = fault.New(fault.Unavailable, fault.NotRun, "the request did not arrive within %s", readTimeout).WithRetryAfter(1)
 	}
-	return fault.New(fault.BadInput, fault.NotRun, "read request body: %v", err)
+	e.Field = bodyField
+	return e
 }
 
 // decodes bounds the number of bodies that are decoded at once.
--- a/internal/node/gate/api.go
+++ b/internal/node/gate/api.go
@@ -88,6 +88,13 @@
 		h.log.Info("no such job", "job", c.ID, "kind", kindNames[c.Kind], "owner", isOwner, "epoch", epoch, "err", err.Error(), "skipped", skipped)
 		return
 	}
+	if httpd.IsUnread(err) { // a crowd of callers would fill the log
+		skipped, ok := h.unread.Allow(h.clock.Now())
+		if ok {
+			h.log.Info("refused unread", "job", c.ID, "status", status, "err", err.Error(), "skipped", skipped)
+		}
+		return
+	}
 	if c.Kind != callStatus && c.Kind != callPending {
 		h.log.Info("refused", "job", c.ID, "status", status, "err", err.Error(), "site", c.ConfigNext)
 	}
--- a/internal/node/gate/host.go
+++ b/internal/node/gate/host.go
@@ -121,6 +121,7 @@
 	requests        context.Context // done when a stopping host has to answer all requests
 	endRequests     context.CancelFunc
 	panics          logs.Limiter // of the log lines about handlers that panicked
+	unread          logs.Limiter // of the log lines about requests that were not read to their end
 	disconnects     logs.Limiter // of the log lines about clients that disconnected before the response
 	policyMu        sync.Mutex   // held while a policy is passed to the owner
 
@@ -149,7 +150,7 @@
 		replica: newReplica(), hostsLoaded: make(chan struct{}), reg: prometheus.NewRegistry(),
 		denials: logs.Limiter{Lines: maxDenialLines, Interval: time.Second}, panics: logs.Limiter{Lines: maxUnansweredLines, Interval: time.Second},
 		cancels: logs.Limiter{Lines: maxCancelLines, Interval: time.Second}, accepts: logs.Limiter{Lines: maxAcceptLines, Interval: time.Second},
-		disconnects: logs.Limiter{Lines: maxUnansweredLines, Interval: time.Second},
+		disconnects: logs.Limiter{Lines: maxUnansweredLines, Interval: time.Second}, unread: logs.Limiter{Lines: 1, Interval: time.Second},
 	}
 	h.requests, h.endRequests = context.WithCancel(context.Background())
 	h.owner.lastContact = cfg.Clock.Now()
