Evict requests that are arriving, not idle connections

For want of room the server ended idle connections of ordinary callers before requests that had stalled: an idle connection counted as one that had received nothing of a head. A connection now counts as receiving from the first byte of a head on. TestStalledRequestMakesWay failed before (the idle caller got "unexpected EOF") and holds now.

--- a/internal/base/httpd/drain.go
+++ b/internal/base/httpd/drain.go
@@ -231,6 +231,7 @@
 type conn struct {
 	net.Conn
 	holder *budget.Holder // nil without an account
+	inHead bool           // the head of a request has begun to arrive; used by the server's goroutine for the connection only
 
 	mu        sync.Mutex
 	idle      bool      // no request is being served
--- a/internal/base/httpd/limits.go
+++ b/internal/base/httpd/limits.go
@@ -66,7 +66,6 @@
 		c.holder.Close()
 		return false
 	}
-	c.holder.Receive(maxHeaderBytes)
 	return true
 }
 
@@ -136,6 +135,10 @@
 		return nil
 	}
 	lines := bytes.Count(p, []byte{'\n'})
+	if !c.inHead { // an idle connection of an ordinary caller is not receiving
+		c.inHead = true
+		c.holder.Receive(maxHeaderBytes)
+	}
 	c.holder.Progress(int64(len(p)))
 	if !c.holder.Take(int64(headFactor*len(p) + headerLineBytes*lines)) {
 		return errNoRoom
@@ -152,8 +155,8 @@
 	case http.StateActive:
 		c.holder.Received() // a body begins anew
 	case http.StateIdle:
+		c.inHead = false
 		c.holder.Release()
-		c.holder.Receive(maxHeaderBytes)
 	case http.StateClosed, http.StateHijacked:
 		c.holder.Close()
 	}
