Consider workers whose free CPU has changed since the index

The loop over candidates stopped once the workers seen had room for all tasks. A worker that lost free CPU during this plan keeps its old position in the index and can still be the best fit, so the choice differed from the one before the index was kept.

--- a/internal/cell/sched/options.go
+++ b/internal/cell/sched/options.go
@@ -75,8 +75,8 @@
 	workers := p.candidatesFor(si, plan, now)
 	best, simple := 0, !avoidSuspects && s.DataRack == "" && !s.Gang
 	for w := range leastFreeFirst(workers) {
-		if best >= n {
-			break // none of the others goes before those that suffice
+		if best >= n && w.free().CPU == w.indexedCPU {
+			continue // goes after those that suffice
 		}
 		if advised, ok := p.mayRun(si, w, now); !ok || !advised {
 			continue
