Plain wording in comments

Comments only: eight comments used figurative or unclear words. The code without comments is unchanged; build, vet and the tests named in them pass.

--- a/internal/base/httpd/limits.go
+++ b/internal/base/httpd/limits.go
@@ -153,7 +153,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.holder.Received() // a body begins anew
+		c.holder.Received() // the head has arrived; accountBodies starts on the body
 	case http.StateIdle:
 		c.inHead = false
 		c.holder.Release()
--- a/internal/base/httpd/machine.go
+++ b/internal/base/httpd/machine.go
@@ -26,7 +26,7 @@
 )
 
 // ThisMachine returns the memory of the machine and the limit of descriptors of this process,
-// as the operating system tells them.
+// as the operating system reports them.
 func ThisMachine() (m Machine, err error) {
 	var info unix.Sysinfo_t
 	if err := unix.Sysinfo(&info); err != nil {
--- a/internal/cell/clash/clash.go
+++ b/internal/cell/clash/clash.go
@@ -1,8 +1,8 @@
 // Package clash learns which tasks slow each other down on one worker.
 //
-// Tasks of one image behave alike. Each run that has ended tells how long it took against
-// what was expected of its image on its worker, and for which share of that time tasks of
-// other images ran beside it. For a pair of images the Tracker compares the runs of the first
+// Tasks of one image behave alike. For each run that has ended, the caller records its run time
+// divided by what was expected of its image on its worker, and for which share of that time tasks
+// of other images ran beside it. For a pair of images the Tracker compares the runs of the first
 // that had the second beside them with those that had not. The second slows the first down if
 // the difference is large, and larger than chance would make it.
 //
@@ -13,8 +13,8 @@
 //
 // Rejected: groups of images named by operators, since they do not know them; probing by
 // placing pairs on purpose, which slows callers down to learn; a regression over all images,
-// whose cost grows with the square of their number. Two images that always run together can't
-// be told apart by this method either.
+// whose cost grows with the square of their number. The effects of
+// two images that always run together can't be separated by this method either.
 //
 // Evidence halves with each HalfLifeMs, so a pair is forgotten when it no longer meets or no
 // longer slows. Each image has at most MaxPartners others, the most frequent ones.
--- a/internal/cell/sched/index.go
+++ b/internal/cell/sched/index.go
@@ -17,7 +17,7 @@
 //
 // The order is kept between plans. Few workers change from one plan to the next, and
 // insertion into a list that is nearly in order costs about as much as the changes. Sorting
-// anew took most of a plan's time with hundreds of workers.
+// the whole list took most of a plan's time with hundreds of workers.
 type index struct {
 	byFree     []*Worker
 	byExpected []*Worker // by CPU expected to be free after horizonMs; nil until needed
--- a/internal/cell/sched/index_test.go
+++ b/internal/cell/sched/index_test.go
@@ -12,7 +12,7 @@
 )
 
 // TestIndexIsSorted guards against an index that, kept from plan to plan, misses a worker,
-// keeps one that is gone, or is out of order. It compares it with all workers sorted anew.
+// keeps one that is gone, or is out of order. It compares the index with a full sort of all workers.
 func TestIndexIsSorted(t *testing.T) {
 	r := rand.New(rand.NewSource(1))
 	now := Instant{Ms: 1000, WallMs: 1000}
--- a/internal/cell/sched/interfere.go
+++ b/internal/cell/sched/interfere.go
@@ -4,7 +4,7 @@
 	"lagooncourse/internal/cell/clash"
 )
 
-// Tasks share more of a worker than its capacity tells, and some slow each other down. With
+// Tasks share resources that a capacity does not list, such as caches, and some slow each other down. With
 // Config.Interference the planner records which images ran beside each run, learns from the
 // run times which pairs of images clash (package clash), and prefers workers without a task
 // that clashes. It is a preference only: where there is no other room, tasks run together.
--- a/internal/node/gate/config_test.go
+++ b/internal/node/gate/config_test.go
@@ -55,7 +55,7 @@
 	assert.Equal(t, fetches.Load(), int32(1))
 }
 
-// TestReadTimeoutGrows guards against a read of the configuration that begins anew with the
+// TestReadTimeoutGrows guards against a read of the configuration that restarts with the
 // same timeout, which a slow link never meets.
 func TestReadTimeoutGrows(t *testing.T) {
 	s := newConfigState()
