--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -16,6 +16,19 @@
 	openRequests  int                     // requests without a reply
 	nextRequestMs int64                   // no further request before this time
 	failures      int                     // failed requests since the last reply
+	requests      int                     // requests in total
+	hostWaitMs    int64                   // since when a request has waited for a free host; 0 if none waits
+}
+
+// noteHost is called when a request about the step is due. It notes whether a host was free
+// for it.
+func (s *adviceState) noteHost(free bool, now Instant) {
+	switch {
+	case free:
+		s.hostWaitMs = 0
+	case s.hostWaitMs == 0:
+		s.hostWaitMs = now.Ms
+	}
 }
 
 // denies reports whether the advice service has denied the worker.
--- a/internal/cell/sched/explain.go
+++ b/internal/cell/sched/explain.go
@@ -12,18 +12,20 @@
 type WaitReport struct {
 	Step       string
 	WaitMs     int64
-	Waiting    int  // waiting tasks
-	Unusable   int  // unregistered, without an entry of their incarnation, not listed yet, unreachable, backing off, draining, quarantined, in a closed zone, of another pool or without the label
-	NoAdvice   int  // no advice about them
-	Denied     int  // denied by advice
-	NoCapacity int  // no slot: too little free capacity, reserved for another gang, at MaxPerWorker, or limited by probing
-	NoTicket   int  // allowed, but the ticket has expired
-	Slots      int  // tasks that could start now
-	OverLimit  bool // the team's quota does not cover all waiting tasks
-	Requested  bool // an advice request has no reply yet
-	Reserved   int  // workers reserved for this gang
-	Suspects   int  // waiting tasks whose workers have crashed, and that are tried alone or wait for a verdict
-	OnTrial    int  // workers that take no start while another task is tried alone there
+	Waiting    int   // waiting tasks
+	Unusable   int   // unregistered, without an entry of their incarnation, not listed yet, unreachable, backing off, draining, quarantined, in a closed zone, of another pool or without the label
+	NoAdvice   int   // no advice about them
+	Denied     int   // denied by advice
+	NoCapacity int   // no slot: too little free capacity, reserved for another gang, at MaxPerWorker, or limited by probing
+	NoTicket   int   // allowed, but the ticket has expired
+	Slots      int   // tasks that could start now
+	OverLimit  bool  // the team's quota does not cover all waiting tasks
+	Requested  bool  // an advice request has no reply yet
+	Requests   int   // advice requests so far
+	HostWaitMs int64 // for how long an advice request has waited for a free host; 0 if none waits
+	Reserved   int   // workers reserved for this gang
+	Suspects   int   // waiting tasks whose workers have crashed, and that are tried alone or wait for a verdict
+	OnTrial    int   // workers that take no start while another task is tried alone there
 }
 
 // ExplainWaiting explains up to limit step instances that have been ready for
@@ -47,7 +49,10 @@
 // out.
 func (p *Planner) explain(si *stepInstance, now Instant) WaitReport {
 	_, waiting := countTasks(si.tasks())
-	e := WaitReport{Step: si.stepName(), WaitMs: now.Ms - si.readyMs, Waiting: waiting, Requested: si.advice.openRequests > 0}
+	e := WaitReport{Step: si.stepName(), WaitMs: now.Ms - si.readyMs, Waiting: waiting, Requested: si.advice.openRequests > 0, Requests: si.advice.requests}
+	if si.advice.hostWaitMs > 0 {
+		e.HostWaitMs = now.Ms - si.advice.hostWaitMs
+	}
 	e.OverLimit = len(p.withinLimit(si, make([]int, waiting))) < waiting
 	for _, t := range si.tasks() {
 		if t.State == Waiting && t.Crashes >= isolateCrashes {
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -138,14 +138,20 @@
 func (p *Planner) requestAdvice(si *stepInstance, need int, plan *Plan, now Instant) {
 	p.retryLater(si, now)
 	q := p.queue(si)
-	if q.Advice == nil || si.advice.openRequests > 0 || now.Ms < si.advice.nextRequestMs || !plan.hostFree() {
+	if q.Advice == nil || si.advice.openRequests > 0 || now.Ms < si.advice.nextRequestMs {
+		return
+	}
+	if !plan.hostFree() {
+		si.advice.noteHost(false, now)
 		return
 	}
 	ids := p.workersToAsk(si, need, plan, now)
 	if len(ids) == 0 {
 		return
 	}
-	if host, ok := plan.takeHost(q.Advice.responseMs(len(ids))); ok {
+	host, ok := plan.takeHost(q.Advice.responseMs(len(ids)))
+	si.advice.noteHost(ok, now)
+	if ok {
 		p.addRequest(si, ids, host, plan)
 	}
 }
@@ -168,6 +174,7 @@
 // addRequest adds an advice request that the given host sends.
 func (p *Planner) addRequest(si *stepInstance, ids []string, host string, plan *Plan) {
 	si.advice.openRequests++
+	si.advice.requests++
 	plan.Requests = append(plan.Requests, AdviceRequest{
 		StepKey: si.key(), Step: si.stepName(), Workers: ids, ResponseMs: p.queue(si).Advice.responseMs(len(ids)), Host: host,
 	})
--- a/internal/cell/sched/reserve.go
+++ b/internal/cell/sched/reserve.go
@@ -339,6 +339,7 @@
 		}
 		hosts = append(hosts, host)
 	}
+	si.advice.noteHost(len(hosts) > 0, now)
 	for i, host := range hosts {
 		chunk := ids[i*len(ids)/len(hosts) : (i+1)*len(ids)/len(hosts)]
 		p.addRequest(si, chunk[:min(len(chunk), maxRequestWorkers)], host, plan)
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -208,7 +208,7 @@
 	}
 	for _, e := range o.planner.ExplainWaiting(waitingAfterMs, maxWaitingLines, now) {
 		o.log.Info("still waiting", "step", e.Step, "waitMs", e.WaitMs, "idle", e.Waiting, "unusable", e.Unusable, "unasked", e.NoAdvice,
-			"denied", e.Denied, "noRoom", e.NoCapacity, "noTicket", e.NoTicket, "slots", e.Slots, "overLimit", e.OverLimit, "asked", e.Requested, "kept", e.Reserved, "suspects", e.Suspects, "onTrial", e.OnTrial)
+			"denied", e.Denied, "noRoom", e.NoCapacity, "noTicket", e.NoTicket, "slots", e.Slots, "overLimit", e.OverLimit, "asked", e.Requested, "requests", e.Requests, "hostWaitMs", e.HostWaitMs, "kept", e.Reserved, "suspects", e.Suspects, "onTrial", e.OnTrial)
 	}
 	for _, r := range o.planner.UnconfirmedRuns(waitingAfterMs, maxWaitingLines, now) {
 		o.log.Info("run not confirmed", "task", r.Task, "run", r.Run, "worker", r.Worker, "phase", r.Phase, "waitMs", r.WaitMs, "stopping", r.Stopping,
