--- a/internal/plat/fakes/simfleet.go
+++ b/internal/plat/fakes/simfleet.go
@@ -224,6 +224,13 @@
 	f.specs[spec.ID] = spec
 }
 
+// Spec returns the spec of a registered job.
+func (f *SimFleet) Spec(job string) sched.Spec {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.specs[job]
+}
+
 // SetLimit sets the quota of a team, which the fleet checks at each start. It
 // takes no lock: call it before the first start.
 func (f *SimFleet) SetLimit(team string, limit jobs.Size) { f.quotas[team] = limit }
