Ask about all workers that a costly request for a gang has room for

A request of a gang named only workers with free capacity, so that each worker that became free later cost another one. Whether a worker may run a step does not change, so a request that asks about any new worker now asks about as many as it has room for.

--- a/internal/cell/sched/reserve.go
+++ b/internal/cell/sched/reserve.go
@@ -87,7 +87,8 @@
 	// Free workers suffice, or are likely to after advice about the unknown ones.
 	if missing <= 0 || expected >= float64(missing) {
 		p.reserve(si, chosen, onTime, plan, now)
-		p.requestAll(si, append(withoutTicket(chosen), p.pickUnknownForGang(si, unknown, share, missing)...), plan, now)
+		ids := append(withoutTicket(chosen), p.pickUnknownForGang(si, ix, unknown, share, missing)...)
+		p.requestAll(si, ids, plan, now)
 		return
 	}
 	if !onTime || !p.couldFit(si, ix, need) {
@@ -96,7 +97,7 @@
 	allowed, unknown = p.freeLater(si, ix, need, now)
 	if chosen, missing = takeFirst(allowed, need); missing > 0 {
 		p.reserve(si, chosen, true, plan, now)
-		p.requestAll(si, p.pickUnknownForGang(si, unknown, share, missing), plan, now)
+		p.requestAll(si, p.pickUnknownForGang(si, ix, unknown, share, missing), plan, now)
 		return
 	}
 	p.reserve(si, chosen, true, plan, now)
@@ -259,13 +260,16 @@
 }
 
 // pickUnknownForGang returns as many workers without advice as are likely needed
-// for the missing members.
-func (p *Planner) pickUnknownForGang(si *stepInstance, unknown []gangWorker, share float64, missing int) (ids []string) {
+// for the missing members. A costly request also takes workers without free capacity: whether
+// a worker may run a step does not change, and another request for a few workers would cost
+// nearly as much.
+func (p *Planner) pickUnknownForGang(si *stepInstance, ix *index, unknown []gangWorker, share float64, missing int) (ids []string) {
 	if missing <= 0 {
 		return nil
 	}
+	costly := p.queue(si).Advice != nil && p.queue(si).Advice.BaseMs >= costlyBaseMs
 	minWorkers := minRequestWorkers
-	if a := p.queue(si).Advice; a != nil && a.BaseMs >= costlyBaseMs {
+	if costly {
 		minWorkers = costlyMaxWorkers
 	}
 	expected := 0.0
@@ -276,6 +280,24 @@
 		expected += share * float64(c.members)
 		ids = append(ids, c.w.ID)
 	}
+	if costly && len(ids) > 0 {
+		ids = p.fillRequest(si, ix, ids)
+	}
+	return ids
+}
+
+// fillRequest adds workers without advice until a request has costlyMaxWorkers.
+func (p *Planner) fillRequest(si *stepInstance, ix *index, ids []string) []string {
+	label := si.spec().RequiredLabel
+	for _, w := range ix.byFree {
+		if len(ids) >= costlyMaxWorkers {
+			break
+		}
+		_, advised := si.advice.answers[w.ID]
+		if !advised && (label == "" || w.hasLabel(label)) && !slices.Contains(ids, w.ID) {
+			ids = append(ids, w.ID)
+		}
+	}
 	return ids
 }
 
