A late gang keeps the free workers that it has requested tickets for

Tickets are valid for 1.5 s and their request takes 0.5 to 0.7 s. A gang that can still meet its deadline reserves workers meanwhile, a late one did not: smaller tasks took them, the tickets expired unused, and the gang asked again, up to 16 times, which kept the hosts that request advice from other steps. It now reserves those that it has asked about until the reply can be used, if they have room for all its members.

--- a/internal/cell/sched/reserve.go
+++ b/internal/cell/sched/reserve.go
@@ -88,7 +88,9 @@
 	if missing <= 0 || expected >= float64(missing) {
 		p.reserve(si, chosen, onTime, plan, now)
 		ids := append(withoutTicket(chosen), p.pickUnknownForGang(si, ix, unknown, share, missing)...)
-		p.requestAll(si, ids, plan, now)
+		if p.requestAll(si, ids, plan, now) && !onTime && missing <= 0 {
+			p.hold(si, chosen, plan, now)
+		}
 		return
 	}
 	if !onTime || !p.couldFit(si, ix, need) {
@@ -301,11 +303,23 @@
 	return ids
 }
 
+// hold reserves the workers that a late gang has requested tickets for, until it can use the
+// reply. They have the capacity for it now; without a hold, smaller tasks take that in the
+// meantime, and the tickets expire unused.
+func (p *Planner) hold(si *stepInstance, chosen []gangWorker, plan *Plan, now Instant) {
+	p.reserveUntil(si, chosen, p.replyAtMs(si, now), plan, now)
+}
+
 // reserve reserves workers for a gang that can meet its deadline.
 func (p *Planner) reserve(si *stepInstance, chosen []gangWorker, onTime bool, plan *Plan, now Instant) {
-	if !onTime {
-		return
+	if onTime {
+		p.reserveUntil(si, chosen, now.Ms+reservationMs, plan, now)
 	}
+}
+
+// reserveUntil reserves workers for a gang, as long as less than maxReservedShare of all are
+// reserved.
+func (p *Planner) reserveUntil(si *stepInstance, chosen []gangWorker, untilMs int64, plan *Plan, now Instant) {
 	if !plan.reservedCounted {
 		plan.reservedCounted = true
 		for _, w := range p.workers {
@@ -323,7 +337,7 @@
 			}
 			plan.reservedWorkers++
 		}
-		c.w.reservation = reservation{stepKey: gangKey, priority: priority, deadlineMs: si.deadlineMs, untilMs: now.Ms + reservationMs}
+		c.w.reservation = reservation{stepKey: gangKey, priority: priority, deadlineMs: si.deadlineMs, untilMs: untilMs}
 	}
 }
 
@@ -345,11 +359,11 @@
 
 // requestAll requests advice about workers. A long list is split into several
 // simultaneous requests if enough hosts are free. Workers beyond the limit of a
-// request are left out.
-func (p *Planner) requestAll(si *stepInstance, ids []string, plan *Plan, now Instant) {
+// request are left out. It reports whether it has added a request.
+func (p *Planner) requestAll(si *stepInstance, ids []string, plan *Plan, now Instant) (requested bool) {
 	q := p.queue(si)
 	if q.Advice == nil || len(ids) == 0 || si.advice.openRequests > 0 || now.Ms < si.advice.nextRequestMs {
-		return
+		return false
 	}
 	ids = ids[:min(len(ids), maxGangRequestWorkers)]
 	chunks := (len(ids) + costlyMaxWorkers - 1) / costlyMaxWorkers
@@ -366,4 +380,5 @@
 		chunk := ids[i*len(ids)/len(hosts) : (i+1)*len(ids)/len(hosts)]
 		p.addRequest(si, chunk[:min(len(chunk), maxRequestWorkers)], host, plan)
 	}
+	return len(hosts) > 0
 }
