Bound what the names of images make an owner hold

The estimator of run times kept a mean for each name of an image that a caller ever sent, of any length, and so did the tracker of interference: a caller who gives each job another image fills the memory of the owner over time. The estimator now keeps two generations of 4,096 images, the tracker the 2,048 with the most evidence, with names of up to 256 bytes.

--- a/internal/cell/clash/clash.go
+++ b/internal/cell/clash/clash.go
@@ -17,7 +17,8 @@
 // two images that always run together can't be separated by this method either.
 //
 // Evidence halves with each HalfLifeMs, so a pair is forgotten when it no longer meets or no
-// longer slows. Each image has at most MaxPartners others, the most frequent ones.
+// longer slows. Each image has at most MaxPartners others, the most frequent ones, and there are at
+// most MaxImages of them.
 //
 // # Usage
 //
@@ -37,6 +38,7 @@
 	MinSlowdown float64 // least ratio of their mean run times
 	HalfLifeMs  float64 // time in which evidence loses half of its weight
 	MaxPartners int     // other images of which evidence is kept, for each image
+	MaxImages   int     // images of which evidence is kept
 }
 
 // Defaults of Config.
@@ -45,8 +47,13 @@
 	defaultMinSlowdown = 1.15 // below that, a placement elsewhere gains less than it may cost
 	defaultHalfLifeMs  = 120_000
 	defaultMaxPartners = 32
+	defaultMaxImages   = 2_048
 )
 
+// maxNameBytes is the length of the longest image name of which evidence is kept. Callers choose
+// the names.
+const maxNameBytes = 256
+
 // besideShare is the least share of a run for which another image has to run beside it. Runs
 // with less of it, but some, tell nothing.
 const besideShare = 0.5
@@ -123,24 +130,30 @@
 	if cfg.MaxPartners == 0 {
 		cfg.MaxPartners = defaultMaxPartners
 	}
+	if cfg.MaxImages == 0 {
+		cfg.MaxImages = defaultMaxImages
+	}
 	return &Tracker{cfg: cfg, images: map[string]*imageSums{}}
 }
 
 // Record adds a run to the evidence.
 func (t *Tracker) Record(r Run) {
-	if r.Image == "" || r.Ratio <= 0 {
+	if !named(r.Image) || r.Ratio <= 0 {
 		return
 	}
 	x := math.Log(r.Ratio)
 	im := t.images[r.Image]
 	if im == nil {
+		if len(t.images) >= t.cfg.MaxImages {
+			t.dropRarestImage(r.AtMs)
+		}
 		im = &imageSums{others: map[string]*pairSums{}}
 		t.images[r.Image] = im
 	}
 	im.all.fade(t.cfg.HalfLifeMs, r.AtMs)
 	im.all.add(x)
 	for other, share := range r.Beside {
-		if other == "" || share <= 0 {
+		if !named(other) || share <= 0 {
 			continue
 		}
 		p := im.others[other]
@@ -158,6 +171,21 @@
 	}
 }
 
+// named reports whether evidence of an image is kept.
+func named(image string) bool { return image != "" && len(image) <= maxNameBytes }
+
+// dropRarestImage drops the image with the least evidence.
+func (t *Tracker) dropRarestImage(nowMs int64) {
+	rarest, least := "", math.Inf(1)
+	for name, im := range t.images {
+		im.all.fade(t.cfg.HalfLifeMs, nowMs)
+		if im.all.n < least || im.all.n == least && name < rarest {
+			rarest, least = name, im.all.n
+		}
+	}
+	delete(t.images, rarest)
+}
+
 // dropRarest drops the other image with the least evidence, but not the new one, if there are
 // too many.
 func (t *Tracker) dropRarest(im *imageSums, added string, nowMs int64) {
--- a/internal/cell/clash/clash_test.go
+++ b/internal/cell/clash/clash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -109,3 +110,16 @@
 	assert.Equal(t, len(tr.images["a"].others), 8)
 	assert.Assert(t, tr.images["a"].others["b"] != nil, "the most frequent one is kept")
 }
+
+// TestImageNamesDoNotFillMemory guards against callers who give each task another image.
+func TestImageNamesDoNotFillMemory(t *testing.T) {
+	tr := New(Config{MaxImages: 16})
+	for i := range 1000 {
+		tr.Record(Run{Image: image(i), Ratio: 1, AtMs: int64(i)})
+		tr.Record(Run{Image: "a", Ratio: 1, AtMs: int64(i)})
+	}
+	assert.Equal(t, len(tr.images), 16)
+	assert.Assert(t, tr.images["a"] != nil, "the most frequent one is kept")
+	tr.Record(Run{Image: strings.Repeat("x", maxNameBytes+1), Ratio: 1, Beside: map[string]float64{"a": 1}})
+	assert.Equal(t, len(tr.images), 16)
+}
--- a/internal/cell/sched/estimate.go
+++ b/internal/cell/sched/estimate.go
@@ -39,15 +39,57 @@
 	imgError mean // mean of |log(run time / mean run time of the image)|
 }
 
+// maxImages is the number of images from which on those that were not used lately are
+// forgotten. Callers choose the names, so their number has no limit of its own.
+const maxImages = 4096
+
+// maxImageName is the length of the longest image name, in bytes, that is kept. Tasks with a
+// longer one count as tasks without an image.
+const maxImageName = 256
+
+func keyOfImage(queue string, s Step) imageKey {
+	if len(s.Image) > maxImageName {
+		return imageKey{queue: queue}
+	}
+	return imageKey{queue, s.Image}
+}
+
+// imageMeans holds the mean run times of images. When one generation of them is full, the one
+// before it is dropped, so that up to 2*maxImages are known.
+type imageMeans struct{ current, before map[imageKey]*mean }
+
+// get returns the mean of an image, nil if none is known.
+func (m *imageMeans) get(key imageKey) *mean {
+	if v := m.current[key]; v != nil {
+		return v
+	}
+	return m.before[key]
+}
+
+// add adds a run time of an image.
+func (m *imageMeans) add(key imageKey, ms float64) {
+	v := m.current[key]
+	if v == nil {
+		if len(m.current) >= maxImages {
+			m.current, m.before = map[imageKey]*mean{}, m.current
+		}
+		if v = m.before[key]; v == nil {
+			v = &mean{}
+		}
+		m.current[key] = v
+	}
+	v.add(ms)
+}
+
 // estimator estimates run times and the slowdown of workers.
 type estimator struct {
 	queues    map[string]*queueStats
-	images    map[imageKey]*mean
+	images    *imageMeans
 	slowdowns map[string]*mean // by worker: run time divided by the expected run time
 }
 
 func newEstimator() estimator {
-	return estimator{queues: map[string]*queueStats{}, images: map[imageKey]*mean{}, slowdowns: map[string]*mean{}}
+	return estimator{queues: map[string]*queueStats{}, images: &imageMeans{current: map[imageKey]*mean{}}, slowdowns: map[string]*mean{}}
 }
 
 // stats returns the statistics of a queue, creating them if necessary.
@@ -77,7 +119,7 @@
 	if q := e.stats(queue); q.factor.samples >= minSamples {
 		byEstimate *= q.factor.value
 	}
-	if m := e.images[imageKey{queue, s.Image}]; m != nil && m.samples >= minSamples {
+	if m := e.images.get(keyOfImage(queue, s)); m != nil && m.samples >= minSamples {
 		byImage = m.value
 	}
 	return byEstimate, byImage
@@ -110,17 +152,13 @@
 	if byImage > 0 {
 		q.imgError.add(math.Abs(math.Log(took / byImage)))
 	}
-	key := imageKey{queue, s.Image}
-	if e.images[key] == nil {
-		e.images[key] = &mean{}
-	}
-	e.images[key].add(took)
+	e.images.add(keyOfImage(queue, s), took)
 }
 
 // slowdownOf returns the run time of a task by the mean run time of its image and the usual
 // slowdown of the worker; 0 if too little is known of either.
 func (e estimator) slowdownOf(queue, worker string, s Step, ms int64) float64 {
-	image, usual := e.images[imageKey{queue, s.Image}], e.slowdowns[worker]
+	image, usual := e.images.get(keyOfImage(queue, s)), e.slowdowns[worker]
 	if image == nil || usual == nil || image.samples < minSamples || usual.samples < minSamples {
 		return 0
 	}
