The steps that have waited longest for a host to request advice get one

While requests of steps that are on time keep all hosts busy, as after a takeover, no plan got to a late step before the hosts were taken again: a request that takes 9 ms waited for a host for up to 10.6 s, one about a gang for 13.8 s (hostWaitMs). Beyond 1 s the step that has waited longest is now served first, one with costly requests and one with others at a time.

TestLateStepGetsAdvice failed before ("the late step did not start within 3 s") and holds now.

--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -65,6 +65,50 @@
 	costlyMaxWorkers    = 32   // workers in one costly request
 )
 
+// maxHostWaitMs is how long a request for advice waits for a free host behind those of steps
+// that come first in order.
+const maxHostWaitMs = 1_000
+
+// serveLongestWaits lets the steps whose requests have waited longest for a host have the next
+// one, beyond maxHostWaitMs: one step with costly requests and one with others at a time. While
+// requests of steps that come first keep all hosts busy, as after a takeover, the others would
+// get no advice at all.
+func (p *Planner) serveLongestWaits(plan *Plan, now Instant) {
+	for costly, lane := range p.hostLanes {
+		if lane != nil && lane.advice.openRequests > 0 && p.waiting[lane.key()] == lane {
+			continue
+		}
+		p.hostLanes[costly] = nil
+		si := p.longestHostWait(costly == 1, now)
+		if si == nil || !plan.hostFree() {
+			continue
+		}
+		si.triedMs = now.Ms
+		p.place(si, plan, now)
+		if si.advice.openRequests > 0 {
+			p.hostLanes[costly] = si
+		} else {
+			si.advice.hostWaitMs = 0 // it has no use for a host now
+		}
+	}
+}
+
+// longestHostWait returns the step instance whose costly, or other, request has waited longest
+// for a host, beyond maxHostWaitMs, or nil.
+func (p *Planner) longestHostWait(costly bool, now Instant) (longest *stepInstance) {
+	for _, si := range p.waiting {
+		fromMs := si.advice.hostWaitMs
+		a := p.queue(si).Advice
+		if fromMs == 0 || now.Ms-fromMs <= maxHostWaitMs || a == nil || (a.BaseMs >= costlyBaseMs) != costly || p.setAside[si.job.Spec.ID] {
+			continue
+		}
+		if longest == nil || fromMs < longest.advice.hostWaitMs || fromMs == longest.advice.hostWaitMs && si.key().less(longest.key()) {
+			longest = si
+		}
+	}
+	return longest
+}
+
 // AdviceRequest is a request to the advice service about one step instance.
 type AdviceRequest struct {
 	StepKey    stepKey
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -46,6 +46,7 @@
 	plan := Plan{hosts: hosts}
 	p.plannedCommon = p.lossesCommon(now)
 	p.interference.update(now)
+	p.serveLongestWaits(&plan, now)
 	for _, si := range p.firstSteps(maxPlanSteps, now) {
 		if len(plan.Starts) >= maxPlanStarts {
 			break
@@ -294,7 +295,7 @@
 	if run == 0 {
 		run = t.LastRun + 1
 	}
-	si.failedTries = 0
+	si.failedTries, si.advice.hostWaitMs = 0, 0
 	if stepCrashes(si.tasks()) < isolateCrashes { // other suspects of the step may still wait
 		si.isolatedMs = 0
 	}
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -161,6 +161,7 @@
 	plannedCommon  bool                    // losses were common when the last plan began
 	interference   *interference           // nil unless Config.Interference is set
 	indexes        map[string]*index       // by worker pool; see index.go
+	hostLanes      [2]*stepInstance        // served last by serveLongestWaits, with costly requests at index 1
 	unindexed      []*Worker               // that were not available in the last plan, or are new
 	scratch        []*Worker               // reused by candidatesFor
 }
--- a/internal/cell/sched/starvation_test.go
+++ b/internal/cell/sched/starvation_test.go
@@ -155,3 +155,37 @@
 	}
 	t.Fatal("the long-running task did not start within 3 s")
 }
+
+// TestLateStepGetsAdvice guards against a step past its deadline that gets no advice because the
+// requests of steps that are on time keep the only host busy.
+func TestLateStepGetsAdvice(t *testing.T) {
+	now := Instant{Ms: 1000, WallMs: 1000}
+	p := fleet(64, now)
+	q := p.policy.Queues["wide"]
+	q.Advice = &AdviceTiming{BaseMs: 100, WorkerMs: 1, ValidMs: 2_000}
+	p.policy.Queues["wide"] = q
+	p.SetPolicy(p.policy)
+	p.Accept(Spec{ID: "late", Queue: "wide", AcceptedMs: now.WallMs, Steps: []Step{{Count: 1, Size: jobs.Size{CPU: 1_000}, EstimateMs: 100}}}, now)
+	now.Ms, now.WallMs = now.Ms+600_000, now.WallMs+600_000
+	hosts := &adviceHosts{free: 1}
+	var open []AdviceRequest
+	for i := range 3_000 / idlePlanMs {
+		now.Ms, now.WallMs = now.Ms+idlePlanMs, now.WallMs+idlePlanMs
+		p.Accept(Spec{ID: fmt.Sprintf("%04d", i), Queue: "wide", AcceptedMs: now.WallMs, Steps: []Step{{Count: 1, Size: jobs.Size{CPU: 100}, EstimateMs: 2_000}}}, now)
+		if i%4 == 0 { // a request takes 100 ms
+			hosts.free = 1
+			for _, req := range open {
+				p.ApplyAdvice(req, map[string]string{req.Workers[0]: "t"}, true, now.Ms, now)
+			}
+			open = nil
+		}
+		plan := p.Plan(hosts, now)
+		open = append(open, plan.Requests...)
+		for _, s := range plan.Starts {
+			if s.Ref.Job == "late" {
+				return
+			}
+		}
+	}
+	t.Fatal("the late step did not start within 3 s")
+}
