--- a/cmd/lagooncourse/site_test.go
+++ b/cmd/lagooncourse/site_test.go
@@ -37,6 +37,7 @@
 	siteLoad  = flag.Float64("site.load", 1, "factor of the rate of jobs")
 	siteLag   = flag.Duration("site.lag", 0, "mean delay of the answers of workers, in a site's plays")
 	siteStore = flag.Duration("site.store", 0, "mean delay of the answers of the store")
+	sitePower = flag.Duration("site.power", 0, "time before the end of the traffic at which all hosts lose power, after the troubles; 0 for none")
 	siteRest  = flag.Duration("site.gap", 2500*time.Millisecond, "mean time between two troubles")
 )
 
@@ -553,8 +554,27 @@
 	return p
 }
 
+// siteHostsDown is the time for which all hosts are down after a loss of power.
+const siteHostsDown = 1200 * time.Millisecond
+
+// troubles plays random troubles, and a loss of power of all hosts if that is asked for.
+func (p *sitePlay) troubles(end time.Time) {
+	if *sitePower == 0 {
+		p.random(end)
+		return
+	}
+	at := end.Add(-*sitePower)
+	p.random(at)
+	time.Sleep(time.Until(at))
+	p.event("all hosts lose power")
+	for _, h := range p.hosts {
+		p.restart(h, syscall.SIGKILL, siteHostsDown)
+	}
+	time.Sleep(time.Until(end))
+}
+
 // TestSites plays the sites; see the flags site.*.
-func TestSites(t *testing.T) { playSites(t, (*sitePlay).random) }
+func TestSites(t *testing.T) { playSites(t, (*sitePlay).troubles) }
 
 // TestDeadlyTaskLeavesNoJobIdle guards against jobs that wait for the verdict on a task that crashes its workers.
 func TestDeadlyTaskLeavesNoJobIdle(t *testing.T) {
