--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -83,12 +83,14 @@
 		if si == nil || !plan.hostFree() {
 			continue
 		}
-		si.triedMs = now.Ms
+		sinceMs := si.advice.hostWaitMs
+		si.triedMs, si.advice.hostWaitMs = now.Ms, 0 // it may have no use for a host now
 		p.place(si, plan, now)
-		if si.advice.openRequests > 0 {
+		switch {
+		case si.advice.openRequests > 0:
 			p.hostLanes[costly] = si
-		} else {
-			si.advice.hostWaitMs = 0 // it has no use for a host now
+		case si.advice.hostWaitMs > 0: // no host that is free takes its request
+			si.advice.hostWaitMs = sinceMs
 		}
 	}
 }
--- a/internal/cell/sched/reserve.go
+++ b/internal/cell/sched/reserve.go
@@ -15,7 +15,8 @@
 //
 // Only gangs with rankOnTime that could fit get reservations. A reservation lasts for
 // reservationMs and is renewed while the gang waits, so it expires soon after the
-// gang has started or lost that rank.
+// gang has started or lost that rank. A late gang has a reservation only while it waits for
+// tickets; see hold.
 
 // Parameters of reservations and of the advice requests for gangs.
 const (
--- a/internal/cell/sched/starvation_test.go
+++ b/internal/cell/sched/starvation_test.go
@@ -189,3 +189,30 @@
 	}
 	t.Fatal("the late step did not start within 3 s")
 }
+
+// shortHosts are hosts for advice requests that take short ones only.
+type shortHosts struct{ adviceHosts }
+
+func (h *shortHosts) Acquire(responseMs float64) (string, bool) {
+	if responseMs > 150 {
+		return "", false
+	}
+	return h.adviceHosts.Acquire(responseMs)
+}
+
+// TestWaitForHostIsKept guards against a step that begins to wait anew each time its turn comes
+// while no free host takes a request as long as its own.
+func TestWaitForHostIsKept(t *testing.T) {
+	now := Instant{Ms: 1000, WallMs: 1000}
+	p := fleet(8, now)
+	q := p.policy.Queues["wide"]
+	q.Advice = &AdviceTiming{BaseMs: 450, WorkerMs: 1, ValidMs: 2_000}
+	p.policy.Queues["wide"] = q
+	p.SetPolicy(p.policy)
+	p.Accept(Spec{ID: "g", Queue: "wide", AcceptedMs: now.WallMs, Steps: []Step{{Count: 2, Gang: true, Size: jobs.Size{CPU: 1_000}, EstimateMs: 100}}}, now)
+	for range 3_000 / idlePlanMs {
+		now.Ms, now.WallMs = now.Ms+idlePlanMs, now.WallMs+idlePlanMs
+		p.Plan(&shortHosts{adviceHosts{free: 1}}, now)
+	}
+	assert.Assert(t, p.ExplainWaiting(0, 1, now)[0].HostWaitMs > 2*maxHostWaitMs)
+}
