--- a/review/standin-2/play.go
+++ b/review/standin-2/play.go
@@ -72,7 +72,7 @@
 	if p.store, err = newStore(); err != nil {
 		return nil, err
 	}
-	p.configure()
+	p.configure(3, "r-cpihhac")
 	for i := range executors {
 		x, err := p.newExecutor(i)
 		if err != nil {
@@ -95,12 +95,13 @@
 	fmt.Fprintf(p.out, "%8.3f s  %s\n", time.Since(p.began).Seconds(), fmt.Sprintf(format, args...))
 }
 
-// configure writes the configuration as the operator does.
-func (p *play) configure() {
+// configure writes a version of the configuration as the operator does. Its route has the
+// given name.
+func (p *play) configure(version int, route string) {
 	b, _ := json.Marshal(map[string]any{
-		"version": 3,
+		"version": version,
 		"routes": []any{map[string]any{
-			"name": "q-lohu930", "host": queueHost, "pathPrefix": prefix, "service": service, "priority": 1, "maxAttempts": 4,
+			"name": route, "host": queueHost, "pathPrefix": prefix, "service": service, "priority": 1, "maxAttempts": 4,
 			"slackFactor": 2.2, "targetLatencyMs": 1000, "timeoutMs": 3000,
 		}},
 		"services": []any{map[string]any{"name": service, "rejectsOverload": false}},
