--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,6 +24,8 @@
 	run              func(p *play, trouble bool) int
 }{
 	"service": {48, 3, playService},
+	"renamed": {48, 3, playRenamed},
+	"digits":  {48, 3, playDigits},
 }
 
 func main() {
