--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,9 +23,10 @@
 	executors, hosts int
 	run              func(p *play, trouble bool) int
 }{
-	"service": {48, 3, playService},
-	"renamed": {48, 3, playRenamed},
-	"digits":  {48, 3, playDigits},
+	"service":   {48, 3, playService},
+	"renamed":   {48, 3, playRenamed},
+	"digits":    {48, 3, playDigits},
+	"schedules": {48, 3, playSchedules},
 }
 
 func main() {
