--- a/review/standin-2/executor.go
+++ b/review/standin-2/executor.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -34,7 +35,8 @@
 	endNo    int64
 	seq      int64
 	changed  chan struct{}
-	timers   []*time.Timer
+	kind     string
+	fails    atomic.Bool // it fails all that it starts
 }
 
 type run struct {
@@ -52,7 +54,10 @@
 )
 
 func (p *play) newExecutor(i int) (*executor, error) {
-	x := &executor{p: p, id: fmt.Sprintf("i-%08x", 0x7f3a0000+i), rack: fmt.Sprintf("r1-%d", i/8), cpu: 32_000, memory: 65_536}
+	x := &executor{p: p, id: fmt.Sprintf("i-%08x", 0x7f3a0000+i), rack: fmt.Sprintf("r1-%d", i/8), cpu: 32_000, memory: 65_536, kind: "a"}
+	if i == 11 {
+		x.kind = "b"
+	}
 	if err := x.boot(); err != nil {
 		return nil, err
 	}
@@ -118,7 +123,7 @@
 	x.seq++
 	entry := map[string]any{
 		"service": service, "address": x.addr, "zone": "duluth", "version": "1", "slots": 8, "state": "ready", "coldRemainingMs": 0, "sequence": x.seq,
-		"capacity": map[string]any{"cpu": x.cpu, "taskMemoryMb": x.memory, "gpu": 0}, "labels": []string{"a", x.rack}, "born": x.born, "machine": "m-" + x.id,
+		"capacity": map[string]any{"cpu": x.cpu, "taskMemoryMb": x.memory, "gpu": 0}, "labels": []string{x.kind, x.rack}, "born": x.born, "machine": "m-" + x.id,
 	}
 	x.mu.Unlock()
 	if up {
@@ -222,6 +227,9 @@
 	}
 	x.running[o.Task] = r
 	x.p.started(x, o)
+	if x.fails.Load() {
+		x.end(r, "failed")
+	}
 	return http.StatusOK, v
 }
 
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -23,9 +23,9 @@
 	executors, hosts int
 	run              func(p *play, trouble bool) int
 }{
-	"service":   {48, 3, playService},
 	"renamed":   {48, 3, playRenamed},
 	"digits":    {48, 3, playDigits},
+	"lasting":   {12, 3, playLasting},
 	"schedules": {48, 3, playSchedules},
 }
 
