Scheduler: deadlines of waiting steps follow the policy

After a takeover, jobs that had been waiting came after jobs accepted later, and took turns whatever their deadlines were.

Cause: a new owner adopts the waiting steps before it knows the policy, and their deadline was computed only then, with neither slack nor target latency. They ranked as expired until they were placed. A version that changes the two values did not reach waiting steps either.

Before the change, the later of two jobs that can both meet their deadline starts first: "j2.0.0.0/1@w1 != j1.0.0.0/1@w1".

Change: the deadline is computed again when the queue of a step is read under another version of the policy.

--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -362,7 +362,7 @@
 	if spec.Occurrences > 0 {
 		si.dueMs = spec.FirstMs + int64(si.occ)*spec.IntervalMs
 	}
-	q := p.policy.Queues[spec.Queue]
+	q := p.queue(si)
 	criticalPath := p.estimatedGraph(si.job).criticalPath
 	si.deadlineMs = si.dueMs + int64(q.Slack*float64(criticalPath)) + q.TargetMs
 }
@@ -524,13 +524,15 @@
 // missingQueue replaces a queue that the policy no longer contains.
 var missingQueue = &Queue{}
 
-// queue returns the queue of a step instance, cached until the policy changes.
+// queue returns the queue of a step instance, cached until the policy changes. The deadline
+// follows each change: a new owner adopts the waiting steps before it knows the policy.
 func (p *Planner) queue(si *stepInstance) *Queue {
 	if si.queue == nil || si.policyVersion != p.policyVersion {
 		si.queue, si.policyVersion = p.queues[si.job.Spec.Queue], p.policyVersion
 		if si.queue == nil {
 			si.queue = missingQueue
 		}
+		p.setDeadline(si)
 	}
 	return si.queue
 }
