--- a/internal/cell/sched/batch.go
+++ b/internal/cell/sched/batch.go
@@ -1,5 +1,7 @@
 package sched
 
+import "lagooncourse/internal/base/frame"
+
 // Batch is a set of records to append, with the changes that Stored makes after
 // the append.
 type Batch struct {
@@ -13,7 +15,7 @@
 	endMarks map[string]endMark // by worker
 }
 
-// batchUnit is records of one job in a batch, from index from to before index to.
+// batchUnit is records of one job, or of one queue, in a batch, from index from to before index to.
 type batchUnit struct {
 	job      string
 	from, to int
@@ -63,7 +65,7 @@
 	return list
 }
 
-// Job returns the job whose records a batch of ByJob holds.
+// Job returns the job whose records a batch of ByJob holds; empty for a queue.
 func (b *Batch) Job() string { return b.units[0].job }
 
 // recordLengths is the length of the lengths of a record and of its key, in bytes.
@@ -97,6 +99,7 @@
 		return false
 	}
 	if b.units[0].accepted {
+		j.queue.changed, p.queuesChanged = j.queue.known, true // its record may have been refused with the job
 		p.remove(id)
 		return false
 	}
@@ -130,31 +133,29 @@
 // IsSetAside reports whether the records of a job can't be stored; see Refused.
 func (p *Planner) IsSetAside(id string) bool { return p.setAside[id] }
 
-// HasUnstored reports whether progress or accepted jobs have to be stored. It ignores
+// HasUnstored reports whether progress, accepted jobs or queues have to be stored. It ignores
 // jobs whose retention has ended.
 func (p *Planner) HasUnstored() bool {
-	return len(p.dirty) > 0 || len(p.newSpecs) > 0
+	return len(p.dirty) > 0 || len(p.newSpecs) > 0 || p.queuesChanged
 }
 
-// TakeBatch returns a batch of the records that have to be stored: accepted jobs,
-// then progress, then denials, then deletions of jobs whose retention has ended.
+// TakeBatch returns a batch of the records that have to be stored: accepted jobs, then
+// queues, then progress, then denials, then deletions of jobs whose retention has ended and of
+// their queues.
 func (p *Planner) TakeBatch(now Instant) (*Batch, error) {
 	b := &Batch{verdicts: map[string]Verdict{}, endMarks: map[string]endMark{}}
 	for len(p.newSpecs) > 0 {
-		s := p.newSpecs[0]
-		key, value, err := SpecRecord(s)
+		added, err := p.addSpec(b, p.newSpecs[0])
 		if err != nil {
 			return nil, err
 		}
-		if !b.fits(p.cfg, value) {
+		if !added {
 			return b, nil
 		}
 		p.newSpecs = p.newSpecs[1:]
-		if err := p.addValue(b, key, value); err != nil {
-			return nil, err
-		}
-		b.Accepted = append(b.Accepted, s.ID)
-		b.endUnit(s.ID, true)
+	}
+	if complete, err := p.addQueues(b); err != nil || !complete {
+		return b, err
 	}
 	for id := range p.dirty {
 		added, err := p.addProgress(b, id)
@@ -185,10 +186,14 @@
 			b.add(key, nil) // a record without a value deletes its key
 		}
 		b.endUnit(id, false)
+		j.queue.jobs--
 		delete(p.state.Jobs, id)
 		delete(p.storedVerdicts, id)
 		delete(p.storedJobs, id)
 	}
+	if !p.dropQueues(b) {
+		return b, nil
+	}
 	for id, w := range p.workers {
 		if w.appliedSeq > w.storedSeq && len(p.setAside) == 0 {
 			b.endMarks[id] = endMark{w.Incarnation, w.appliedSeq}
@@ -198,6 +203,36 @@
 	return b, nil
 }
 
+// addSpec adds the record of an accepted job, after that of its queue if it is not stored in
+// its latest version, and reports whether they fit.
+func (p *Planner) addSpec(b *Batch, s Spec) (added bool, err error) {
+	key, value, err := SpecRecord(s)
+	if err != nil {
+		return false, err
+	}
+	jq := p.state.Jobs[s.ID].queue
+	var queue []byte
+	if jq.changed {
+		if queue, err = frame.Encode(jq.queue); err != nil {
+			return false, err
+		}
+	}
+	if !b.fits(p.cfg, queue, value) {
+		return false, nil
+	}
+	if jq.changed {
+		if err := p.addQueue(b, jq, queue); err != nil {
+			return false, err
+		}
+	}
+	if err := p.addValue(b, key, value); err != nil {
+		return false, err
+	}
+	b.Accepted = append(b.Accepted, s.ID)
+	b.endUnit(s.ID, true)
+	return true, nil
+}
+
 // addProgress adds the records of a job's progress, and reports whether they fit.
 func (p *Planner) addProgress(b *Batch, id string) (added bool, err error) {
 	j := p.state.Jobs[id]
--- a/internal/cell/sched/events_test.go
+++ b/internal/cell/sched/events_test.go
@@ -65,6 +65,9 @@
 		}
 		spec.Steps = append(spec.Steps, s)
 	}
+	if q, ok := f.p.policy.Queues[spec.Queue]; ok && f.n%2 == 0 { // else as from a host of an earlier version
+		spec.QueueID, spec.QueueConfig = q.ID(), &q
+	}
 	f.p.Accept(spec, f.now)
 }
 
@@ -139,6 +142,9 @@
 		f.records = append(f.records, [2]string{key, string(b.Values[i])})
 	}
 	f.p.Stored(b)
+	if err := f.p.auditQueues(); err != nil {
+		panic(err)
+	}
 }
 
 // other replaces the policy or the owner, answers advice, withdraws a job, or reads the
@@ -172,7 +178,7 @@
 		p.TakeFullJobs()
 		p.Describe(id)
 		p.Status(id)
-		p.Pending("urgent")
+		p.Pending(Queue{Name: "urgent"})
 	}
 }
 
@@ -181,13 +187,15 @@
 	return c
 }
 
-// fuzzPolicy returns a policy in which a queue may be missing or have other advice.
+// fuzzPolicy returns a policy in which a queue may be missing, or have other advice, another
+// name or another address.
 func fuzzPolicy(r *rand.Rand) Policy {
 	v := Policy{Teams: map[string]Limit{"t": {Max: jobs.Size{CPU: int64(r.Intn(60_000))}, Weight: int64(r.Intn(20))}}, Queues: map[string]Queue{
 		"urgent": {Name: "urgent", Service: "s", MaxAttempts: 3, Slack: 2, TargetMs: 250},
 	}}
 	if r.Intn(4) > 0 {
-		v.Queues["wide"] = Queue{Name: "wide", Service: "s", Priority: 1, MaxAttempts: r.Intn(3), Slack: 2, TargetMs: 1000}
+		name := []string{"wide", "wide", "broad"}[r.Intn(3)]
+		v.Queues[name] = Queue{Name: name, Host: "h", Prefix: []string{"/a/", "/b/"}[r.Intn(2)], Service: "s", Priority: 1, MaxAttempts: r.Intn(3), Slack: 2, TargetMs: 1000}
 	}
 	if r.Intn(4) > 0 {
 		v.Queues["advised"] = Queue{Name: "advised", Service: "s", Slack: 2, Advice: &AdviceTiming{BaseMs: float64(r.Intn(400)), WorkerMs: 1, ValidMs: 1500}}
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -65,6 +65,7 @@
 // made by operators.
 type Policy struct {
 	Queues    map[string]Queue
+	Services  map[string]bool // configured worker pools; nil if they are not known
 	Teams     map[string]Limit
 	ClosedAzs map[string]bool // availability zones out of service
 }
@@ -101,8 +102,7 @@
 	rank          rank  // result of the last ranking
 	failedTries   int   // failed tries since the last start or advice
 	isolatedMs    int64 // when isolation first kept it from a worker with room; 0 if it has not since its last start without a suspect in the step
-	queue         *Queue
-	policyVersion int // version of the policy from which the field queue was read
+	policyVersion int   // version of the policy from which the deadline was computed
 }
 
 func (si *stepInstance) spec() Step    { return si.job.Spec.Steps[si.step] }
@@ -125,8 +125,9 @@
 	cfg            Config
 	state          *State
 	policy         Policy
-	queues         map[string]*Queue
-	policyVersion  int // number of policies set so far
+	queues         map[string]*jobQueue // by ID; see queues.go
+	queuesChanged  bool                 // a record of a queue may have to be stored
+	policyVersion  int                  // number of policies set so far
 	workers        map[string]*Worker
 	used           map[string]jobs.Size // total allocated size, by team
 	steps          map[stepKey]*stepInstance
@@ -180,9 +181,11 @@
 		steps: map[stepKey]*stepInstance{}, waiting: map[stepKey]*stepInstance{}, dirty: map[string]bool{},
 		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{MaxQuarantineMs: maxQuarantineMs}), allowedShares: map[string]*allowedShare{},
 		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]pendingVerdict{}, setAside: map[string]bool{},
-		cancels: map[string]*followedCancel{}, denied: map[string]bool{}, interference: newInterference(cfg.Interference), indexes: map[string]*index{},
+		queues: map[string]*jobQueue{}, cancels: map[string]*followedCancel{}, denied: map[string]bool{}, interference: newInterference(cfg.Interference), indexes: map[string]*index{},
 	}
+	p.readQueues(cfg.State.queues)
 	for id, j := range cfg.State.Jobs {
+		p.joinQueue(j)
 		p.storedJobs[id] = true
 		p.storedVerdicts[id] = j.Progress.Verdict
 		p.adopt(j, now)
@@ -362,7 +365,8 @@
 	if spec.Occurrences > 0 {
 		si.dueMs = spec.FirstMs + int64(si.occ)*spec.IntervalMs
 	}
-	q := p.queue(si)
+	si.policyVersion = p.policyVersion
+	q := &si.job.queue.queue
 	criticalPath := p.estimatedGraph(si.job).criticalPath
 	si.deadlineMs = si.dueMs + int64(q.Slack*float64(criticalPath)) + q.TargetMs
 }
@@ -511,32 +515,6 @@
 	return s
 }
 
-// SetPolicy replaces the policy.
-func (p *Planner) SetPolicy(v Policy) {
-	p.policy = v
-	p.policyVersion++
-	p.queues = map[string]*Queue{}
-	for name, q := range v.Queues {
-		p.queues[name] = &q
-	}
-}
-
-// missingQueue replaces a queue that the policy no longer contains.
-var missingQueue = &Queue{}
-
-// queue returns the queue of a step instance, cached until the policy changes. The deadline
-// follows each change: a new owner adopts the waiting steps before it knows the policy.
-func (p *Planner) queue(si *stepInstance) *Queue {
-	if si.queue == nil || si.policyVersion != p.policyVersion {
-		si.queue, si.policyVersion = p.queues[si.job.Spec.Queue], p.policyVersion
-		if si.queue == nil {
-			si.queue = missingQueue
-		}
-		p.setDeadline(si)
-	}
-	return si.queue
-}
-
 // Accept adds a job and reports whether it is new. A job whose ID is in use, or whose
 // cancellation was answered before, is ignored.
 func (p *Planner) Accept(spec Spec, now Instant) (added bool) {
@@ -545,6 +523,7 @@
 	}
 	spec.Excess = p.exceedsRate(spec.Team, now)
 	j := newJob(spec)
+	p.joinQueue(j)
 	p.state.Jobs[spec.ID] = j
 	p.newSpecs = append(p.newSpecs, spec)
 	p.addSteps(j, now)
@@ -578,6 +557,7 @@
 			delete(p.steps, key)
 		}
 	}
+	j.queue.jobs--
 	delete(p.state.Jobs, id)
 	delete(p.dirty, id)
 	p.ended = slices.DeleteFunc(p.ended, func(e endedJob) bool { return e.id == id })
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -21,12 +21,15 @@
 //
 // Commands that set up the planner or replace the owner:
 //
-//	queue NAME [prio=N] [attempts=N] [advice=BASE_MS] [service=NAME]
+//	queue NAME [path=PREFIX] [prio=N] [attempts=N] [advice=BASE_MS] [service=NAME]
 //	drop-queue NAME
+//	replace-queue OLD NAME [...]    drop-queue and queue in one policy
+//	swap-queues NAME NAME   each gets the address and the service of the other
+//	services NAME...
 //	team NAME [cpu=N] [weight=N]
 //	close AZ
 //	worker ID cpu=N [mem=N] [az=] [rack=] [label=] [incarnation=N] [draining=1] [leaves=MS] [unlisted=1] [service=NAME]
-//	job ID queue=NAME [team=] [steps=N] [count=N] [cpu=N] [mem=N] [ms=N] [gang=1]
+//	job ID queue=NAME [path=PREFIX, if the policy does not have the queue] [team=] [steps=N] [count=N] [cpu=N] [mem=N] [ms=N] [gang=1]
 //	    [maxperworker=N] [label=LABEL] [datarack=RACK] [longrunning=1] [samerack=1]
 //	    [times=N first=MS every=MS]
 //	cancel JOB
@@ -62,6 +65,7 @@
 //	status JOB
 //	endings         verdicts reached since the last call, with their cause
 //	pending QUEUE
+//	queue-records   number of queues whose records are stored
 //	acked WORKER    sequence number of the last stored end
 //	cancel-acked JOB
 //	gone            cancelled jobs whose last run is gone, with the time since cancel-acked
@@ -161,11 +165,20 @@
 	a := args(f[1:])
 	switch f[0] {
 	case "queue":
-		q := Queue{Name: f[1], Service: cmp.Or(a["service"], "s"), Priority: int(num(a["prio"])), MaxAttempts: int(num(a["attempts"])), Slack: 2, TargetMs: 250}
-		if a["advice"] != "" {
-			q.Advice = &AdviceTiming{BaseMs: float64(num(a["advice"])), WorkerMs: 1, ValidMs: 2_000}
+		s.queue(f[1], a)
+	case "replace-queue":
+		delete(s.policy.Queues, f[1])
+		s.queue(f[2], a)
+	case "swap-queues":
+		a, b := s.policy.Queues[f[1]], s.policy.Queues[f[2]]
+		a.Name, b.Name = b.Name, a.Name
+		s.policy.Queues[a.Name], s.policy.Queues[b.Name] = a, b
+		s.p.SetPolicy(s.policy)
+	case "services":
+		s.policy.Services = map[string]bool{}
+		for _, name := range f[1:] {
+			s.policy.Services[name] = true
 		}
-		s.policy.Queues[f[1]] = q
 		s.p.SetPolicy(s.policy)
 	case "drop-queue":
 		delete(s.policy.Queues, f[1])
@@ -198,6 +211,23 @@
 	return ""
 }
 
+// queue adds or replaces a queue.
+func (s *script) queue(name string, a map[string]string) {
+	s.policy.Queues[name] = scriptQueue(name, a)
+	s.p.SetPolicy(s.policy)
+}
+
+func scriptQueue(name string, a map[string]string) Queue {
+	q := Queue{Name: name, Service: cmp.Or(a["service"], "s"), Priority: int(num(a["prio"])), MaxAttempts: int(num(a["attempts"])), Slack: 2, TargetMs: 250}
+	if a["path"] != "" {
+		q.Host, q.Prefix = "host", a["path"]
+	}
+	if a["advice"] != "" {
+		q.Advice = &AdviceTiming{BaseMs: float64(num(a["advice"])), WorkerMs: 1, ValidMs: 2_000}
+	}
+	return q
+}
+
 func (s *script) worker(id string, a map[string]string) {
 	mem := int64(1 << 30)
 	if a["mem"] != "" {
@@ -215,6 +245,12 @@
 
 func (s *script) job(id string, a map[string]string) {
 	spec := Spec{ID: id, Queue: a["queue"], Team: a["team"], AcceptedMs: s.now.WallMs}
+	if q, ok := s.policy.Queues[a["queue"]]; ok {
+		spec.QueueID = q.ID()
+	} else if a["path"] != "" {
+		q := scriptQueue(a["queue"], a)
+		spec.QueueID, spec.QueueConfig = q.ID(), &q
+	}
 	steps := max(num(a["steps"]), 1)
 	for i := range steps {
 		st := Step{
@@ -371,7 +407,9 @@
 		sort.Strings(out)
 		return strings.Join(out, " ")
 	case "pending":
-		return fmt.Sprint(s.p.Pending(f[1]))
+		return fmt.Sprint(s.p.Pending(s.policy.Queues[f[1]]))
+	case "queue-records":
+		return fmt.Sprint(s.queueRecords())
 	case "acked":
 		return fmt.Sprint(s.p.StoredSeq(f[1]))
 	case "explain":
@@ -385,6 +423,23 @@
 	return ""
 }
 
+// queueRecords returns the number of queues whose records are stored.
+func (s *script) queueRecords() int {
+	keys := map[string]bool{}
+	for _, r := range s.records {
+		if strings.HasPrefix(r[0], queuePrefix) {
+			keys[r[0]] = r[1] != ""
+		}
+	}
+	n := 0
+	for _, stored := range keys {
+		if stored {
+			n++
+		}
+	}
+	return n
+}
+
 // send returns the start of a task if it should be sent.
 func (s *script) send(task string) string {
 	for _, st := range s.starts {
--- a/internal/cell/sched/state.go
+++ b/internal/cell/sched/state.go
@@ -23,6 +23,7 @@
 	firstTask   []int  // index of the first task of each step within an occurrence
 	tasksPerOcc int    // number of tasks of one occurrence
 	graph       *graph // see stepGraph
+	queue       *jobQueue
 
 	suspectsStored bool // a record of its suspects may be stored
 
@@ -40,11 +41,12 @@
 	earlyProgress map[string]Progress  // progress records that were applied before their spec, by job
 	earlySuspects map[string][]suspect // the same for records of suspects
 	parts         map[string]*partSet  // values that are stored in parts, by key
+	queues        map[string]Queue     // queues of jobs, by ID
 }
 
 // NewState returns the state of an empty topic.
 func NewState() *State {
-	return &State{Jobs: map[string]*Job{}, earlyProgress: map[string]Progress{}, earlySuspects: map[string][]suspect{}, parts: map[string]*partSet{}}
+	return &State{Jobs: map[string]*Job{}, earlyProgress: map[string]Progress{}, earlySuspects: map[string][]suspect{}, parts: map[string]*partSet{}, queues: map[string]Queue{}}
 }
 
 // newJob returns a job with all tasks waiting.
@@ -95,6 +97,8 @@
 		return s.applySuspects(id, value)
 	case partPrefix:
 		return s.applyPart(key, value)
+	case queuePrefix:
+		return s.applyQueue(id, value)
 	}
 	return merry.New("record key has an unknown prefix")
 }
@@ -168,6 +172,19 @@
 	return nil
 }
 
+func (s *State) applyQueue(id string, value []byte) error {
+	if len(value) == 0 {
+		delete(s.queues, id)
+		return nil
+	}
+	q, err := frame.Decode[Queue](value)
+	if err != nil {
+		return err
+	}
+	s.queues[id] = q
+	return nil
+}
+
 // ClaimRecord returns the key and value of a claim record.
 func ClaimRecord(c Claim) (key string, value []byte, err error) {
 	value, err = frame.Encode(c)
--- a/internal/cell/sched/status.go
+++ b/internal/cell/sched/status.go
@@ -42,12 +42,16 @@
 	return j.Spec, true
 }
 
-// Pending counts the stored open jobs of a queue of which no worker has confirmed
-// a run.
-func (p *Planner) Pending(queue string) int {
+// Pending counts the stored open jobs of a queue of which no worker has confirmed a run.
+// They include jobs that were accepted while the queue had another name.
+func (p *Planner) Pending(q Queue) int {
+	at := map[*jobQueue]bool{}
+	for _, jq := range p.queues {
+		at[jq] = jq.queue.sameAddress(q)
+	}
 	n := 0
 	for id, j := range p.state.Jobs {
-		if j.Spec.Queue == queue && p.storedJobs[id] && j.Progress.Verdict == Open && !j.Progress.RunConfirmed {
+		if at[j.queue] && p.storedJobs[id] && j.Progress.Verdict == Open && !j.Progress.RunConfirmed {
 			n++
 		}
 	}
--- a/internal/cell/sched/types.go
+++ b/internal/cell/sched/types.go
@@ -29,7 +29,7 @@
 // Spec is an accepted job. It is immutable.
 type Spec struct {
 	ID          string
-	Queue       string
+	Queue       string // name of the queue at the time of acceptance; see queues.go
 	Team        string
 	Payload     string
 	Steps       []Step
@@ -38,6 +38,9 @@
 	Occurrences int   // number of occurrences; 0 for a job that runs once, immediately
 	AcceptedMs  int64 // time of acceptance, in ms since 1970
 	Excess      bool  // submitted in excess of the team's rate
+
+	QueueID     string // of the queue; empty in records of earlier versions
+	QueueConfig *Queue `msgpack:"-"` // the queue as the accepting host knows it, nil if it gives none; not stored
 }
 
 // TaskState is the stored state of a task.
--- a/internal/node/gate/api.go
+++ b/internal/node/gate/api.go
@@ -122,7 +122,7 @@
 	if !ok && !q.Public {
 		return c, fault.New(fault.Unauthenticated, fault.NotRun, "the key is not known")
 	}
-	c.Queue = q.Name
+	c.Queue, c.QueueConfig = q.Name, q
 	c.ID = strings.ToLower(strings.TrimPrefix(r.URL.Path, q.Prefix))
 	if r.Method == http.MethodGet && c.ID == "" {
 		c.Kind = callPending
@@ -159,7 +159,8 @@
 	if err != nil {
 		return c, err
 	}
-	c.Spec.Queue, c.Spec.Team, c.Spec.AcceptedMs = c.Queue, team, h.clock.Now().UnixMilli()
+	c.Spec.Queue, c.Spec.QueueID = c.Queue, c.QueueConfig.ID()
+	c.Spec.Team, c.Spec.AcceptedMs = team, h.clock.Now().UnixMilli()
 	return c, nil
 }
 
@@ -254,11 +255,16 @@
 	a.Epoch = o.Epoch()
 	switch c.Kind {
 	case callSubmit:
+		if c.QueueConfig.Name != "" {
+			c.Spec.QueueConfig = &c.QueueConfig
+		}
 		return a, o.Submit(ctx, c.Spec)
 	case callCancel:
 		return a, o.Cancel(ctx, c.ID)
 	case callPending:
-		a.Pending, err = o.Pending(ctx, c.Queue)
+		q := c.QueueConfig
+		q.Name = c.Queue
+		a.Pending, err = o.Pending(ctx, q)
 		return a, err
 	}
 	a.Status, err = o.Status(ctx, c.ID)
--- a/internal/node/gate/cluster_test.go
+++ b/internal/node/gate/cluster_test.go
@@ -119,14 +119,7 @@
 			Workers: 4, Capacity: jobs.Size{CPU: 8_000, Mem: 8_000}, Rack: 2, Azs: []string{"x", "y"}, Service: "s", Seed: 1,
 		}),
 	}
-	config, err := json.Marshal(ports.ClusterConfig{
-		Version: 3, Queues: []sched.Queue{
-			{Name: "q", Host: "h.example", Prefix: "/q/", Service: "s", MaxAttempts: 3, Slack: 2, TargetMs: 500, Advice: &sched.AdviceTiming{BaseMs: 1, ValidMs: 2000}},
-		},
-		Teams: []ports.Team{{Name: "t", Keys: []string{"k"}, Weight: 100}},
-	})
-	assert.NilError(t, err)
-	c.store.Put("op", "config", config)
+	c.configure(3, clusterQueue)
 	for _, w := range c.fleet.Entries() {
 		data, err := json.Marshal(w)
 		assert.NilError(t, err)
@@ -147,6 +140,18 @@
 	return c
 }
 
+// clusterQueue is the queue of a cluster.
+var clusterQueue = sched.Queue{
+	Name: "q", Host: "h.example", Prefix: "/q/", Service: "s", MaxAttempts: 3, Slack: 2, TargetMs: 500, Advice: &sched.AdviceTiming{BaseMs: 1, ValidMs: 2000},
+}
+
+// configure writes a version of the configuration.
+func (c *cluster) configure(version int64, queues ...sched.Queue) {
+	config, err := json.Marshal(ports.ClusterConfig{Version: version, Queues: queues, Teams: []ports.Team{{Name: "t", Keys: []string{"k"}, Weight: 100}}})
+	assert.NilError(c.t, err)
+	c.store.Put("op", "config", config)
+}
+
 // freePort returns a free TCP port.
 func freePort(t *testing.T) int {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/node/gate/config.go
+++ b/internal/node/gate/config.go
@@ -74,6 +74,12 @@
 	for _, q := range s.config.Queues {
 		v.Queues[q.Name] = q
 	}
+	if len(s.config.Services) > 0 {
+		v.Services = map[string]bool{}
+	}
+	for _, name := range s.config.Services {
+		v.Services[name] = true
+	}
 	for _, t := range s.config.Teams {
 		v.Teams[t.Name] = sched.Limit{Max: t.Max, Weight: t.Weight}
 	}
--- a/internal/node/gate/wire.go
+++ b/internal/node/gate/wire.go
@@ -49,6 +49,8 @@
 	ID         string
 	Queue      string
 	ConfigNext int64 // operator topic offset of the configuration used for validation
+
+	QueueConfig sched.Queue // the queue named Queue; empty from hosts of an earlier version
 }
 
 // callAnswer is the result of a call.
--- a/internal/node/lead/answer.go
+++ b/internal/node/lead/answer.go
@@ -212,11 +212,11 @@
 }
 
 // Pending returns the number of jobs of a queue without a started task.
-func (o *Owner) Pending(ctx context.Context, queue string) (int, error) {
+func (o *Owner) Pending(ctx context.Context, q sched.Queue) (int, error) {
 	if err := o.awaitRead(ctx, answerCount); err != nil {
 		return 0, err
 	}
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.planner.Pending(queue), nil
+	return o.planner.Pending(q), nil
 }
--- a/internal/node/lead/answer_test.go
+++ b/internal/node/lead/answer_test.go
@@ -254,7 +254,7 @@
 		t.Helper()
 		_, err := o.Status(context.Background(), id)
 		assert.NilError(t, err)
-		n, err := o.Pending(context.Background(), "q")
+		n, err := o.Pending(context.Background(), sched.Queue{Name: "q"})
 		assert.NilError(t, err)
 		assert.Equal(t, n, 1)
 	}
@@ -302,6 +302,6 @@
 	c.suspended.Store(int64(maxConfirmAgeMs * time.Millisecond))
 	s, err := old.Status(t.Context(), id)
 	assert.Assert(t, fault.HasCode(err, fault.NotOwner), "%q, %v", s, err)
-	n, err := old.Pending(t.Context(), "q")
+	n, err := old.Pending(t.Context(), sched.Queue{Name: "q"})
 	assert.Assert(t, fault.HasCode(err, fault.NotOwner), "%d, %v", n, err)
 }
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -89,6 +89,7 @@
 	maxOddEntryLines     = 5                       // log lines a second about invalid registry entries
 	maxStopLines         = 50                      // log lines a second of each kind about stops and lingering runs
 	maxErrTextBytes      = 300                     // of an error that quotes an entry, in a log line
+	maxQueueLines        = 50                      // log lines about queues of accepted jobs, for each configuration
 	stalledAfter         = 3 * time.Second         // without a finished plan, an owner counts as stalled; a plan takes milliseconds
 )
 
@@ -177,8 +178,8 @@
 		State: cfg.State, PrevOwnerRenewMs: maxConfirmAgeMs, LeaseMs: o.leaseDurationMs(), MaxLeaseMs: cfg.MaxLeaseMs, RetentionMs: cfg.RetentionMs,
 		RecordBytes: cfg.RecordBytes, AppendBytes: cfg.AppendBytes, Interference: cfg.Interference,
 	}, o.now())
-	o.planner.SetPolicy(cfg.Policy)
 	o.log.Info("took over", "jobs", len(cfg.State.Jobs), "offset", cfg.State.NextOffset)
+	o.setPolicy(cfg.Policy)
 	for name, loop := range map[string]func(){"plan loop": o.planLoop, "write loop": o.writeLoop, "registry loop": o.registryLoop} {
 		o.loops.Add(1)
 		go func() {
@@ -281,10 +282,27 @@
 
 // SetPolicy passes a new configuration to the planner.
 func (o *Owner) SetPolicy(v sched.Policy) {
-	o.locked(func() { o.planner.SetPolicy(v) })
+	o.locked(func() { o.setPolicy(v) })
 	o.wakePlanner()
 }
 
+// setPolicy passes a configuration to the planner and logs the queues that accepted jobs keep
+// without it. The caller holds o.mu.
+func (o *Owner) setPolicy(v sched.Policy) {
+	changes := o.planner.SetPolicy(v)
+	for i, c := range changes {
+		if i == maxQueueLines {
+			o.log.Info("more queues of accepted jobs have changed", "queues", len(changes)-i)
+			return
+		}
+		if c.Now != "" {
+			o.log.Info("queue of accepted jobs has another name", "queue", c.Queue, "now", c.Now, "service", c.Service, "jobs", c.Jobs)
+			continue
+		}
+		o.log.Info("queue of accepted jobs is not in the configuration", "queue", c.Queue, "service", c.Service, "jobs", c.Jobs)
+	}
+}
+
 // errNotOwner returns the error for a request that has not been sent to the store
 // because the owner has stopped.
 func errNotOwner() error {
