--- a/cmd/lagooncourse/soak_test.go
+++ b/cmd/lagooncourse/soak_test.go
@@ -248,15 +248,17 @@
 	return s
 }
 
-// configure writes the next version of the configuration.
+// configure writes the next version of the configuration. Queues that swing get another name
+// and another priority, under which their accepted jobs go on.
 func (s *soak) configure() {
 	s.version++
 	routes, teams := []map[string]any{}, []map[string]any{}
 	for _, q := range s.cfg.queues {
+		name := q.name
 		if q.swings {
-			q.priority = int(s.version % 2)
+			name, q.priority = fmt.Sprintf("%s-%d", q.name, s.version%3), int(s.version%2)
 		}
-		r := map[string]any{"name": q.name, "host": "h.example", "pathPrefix": "/" + q.name + "/", "service": s.cfg.fleet.Service, "maxAttempts": q.attempts, "slackFactor": q.slack, "targetLatencyMs": q.targetMs, "priority": q.priority, "timeoutMs": 3000}
+		r := map[string]any{"name": name, "host": "h.example", "pathPrefix": "/" + q.name + "/", "service": s.cfg.fleet.Service, "maxAttempts": q.attempts, "slackFactor": q.slack, "targetLatencyMs": q.targetMs, "priority": q.priority, "timeoutMs": 3000}
 		if q.advice != nil {
 			r["advice"] = map[string]any{"decideMs": q.advice.BaseMs, "perWorkerMs": q.advice.WorkerMs, "validMs": q.advice.ValidMs}
 		}
