Scheduler: nothing is started before a configuration is read

Since the queues of accepted jobs are read from the records, a new owner could start their tasks before its host had read any configuration: without the limits of teams, and in zones that are out of service. Before, the unknown queue kept it from starting anything.

Evidence: policy_unread.txt of TestScripts. Before the change two tasks of a team with room for one are started, "j1.0.0.0/1@w1 j2.0.0.0/1@w2", one of them in a closed zone.

Change: the policy says that it is unread, and a plan under it is empty. Queues do not count as dropped meanwhile.

--- a/cmd/lagooncourse/soak_test.go
+++ b/cmd/lagooncourse/soak_test.go
@@ -74,7 +74,7 @@
 	name     string
 	attempts int // maxAttempts
 	priority int
-	swings   bool // its priority is 0 in each second version
+	swings   bool // its name and its priority change with each version
 	slack    float64
 	targetMs int
 	advice   *fakes.AdviceRule // nil if starts need no ticket
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -46,6 +46,9 @@
 	plan := Plan{hosts: hosts}
 	p.plannedCommon = p.lossesCommon(now)
 	p.interference.update(now)
+	if p.policy.Unread {
+		return plan
+	}
 	p.serveLongestWaits(&plan, now)
 	for _, si := range p.firstSteps(maxPlanSteps, now) {
 		if len(plan.Starts) >= maxPlanStarts {
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -64,6 +64,7 @@
 // Policy holds the queues, team limits and closed zones, including the changes
 // made by operators.
 type Policy struct {
+	Unread    bool // no policy has been read yet, so nothing is started: limits and closed zones are not known
 	Queues    map[string]Queue
 	Services  map[string]bool // configured worker pools; nil if they are not known
 	Teams     map[string]Limit
--- a/internal/cell/sched/queues.go
+++ b/internal/cell/sched/queues.go
@@ -148,6 +148,9 @@
 func (p *Planner) SetPolicy(v Policy) (changes []QueueChange) {
 	p.policy = v
 	p.policyVersion++
+	if v.Unread {
+		return nil
+	}
 	for _, jq := range p.queues {
 		name, wasDropped := jq.queue.Name, jq.dropped
 		p.follow(jq)
@@ -187,7 +190,7 @@
 		jq.set(*accepted)
 	}
 	j.Spec.QueueConfig = nil
-	if p.policyVersion > 0 {
+	if p.policyVersion > 0 && !p.policy.Unread {
 		p.follow(jq)
 	}
 	p.queuesChanged = p.queuesChanged || jq.changed
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -35,7 +35,8 @@
 //	cancel JOB
 //	deny JOB        a cancellation of a job that does not exist
 //	withdraw JOB
-//	takeover
+//	takeover [unread]   with unread, the new owner knows no policy until read-policy
+//	read-policy
 //
 // Commands that advance time or the planner:
 //
@@ -107,7 +108,7 @@
 	defer f.Close()
 	s := &script{t: t, sent: map[string]bool{}, now: Instant{Ms: 100_000, WallMs: 100_000}, freeHosts: 8}
 	s.policy = Policy{Queues: map[string]Queue{}, Teams: map[string]Limit{}, ClosedAzs: map[string]bool{}}
-	s.newOwner()
+	s.newOwner(false)
 	in := bufio.NewScanner(f)
 	for n := 1; in.Scan(); n++ {
 		line, _, _ := strings.Cut(in.Text(), "#")
@@ -133,14 +134,18 @@
 	return "host", s.freeHosts >= 0
 }
 
-// newOwner starts a new owner from the stored records.
-func (s *script) newOwner() {
+// newOwner starts a new owner from the stored records, without the policy if that is unread.
+func (s *script) newOwner(unread bool) {
 	state := NewState()
 	for _, r := range s.records {
 		assert.NilError(s.t, state.Apply(r[0], []byte(r[1])))
 	}
 	s.p = NewPlanner(Config{State: state, PrevOwnerRenewMs: 6_000, LeaseMs: 8_000, RetentionMs: 60_000}, s.now)
-	s.p.SetPolicy(s.policy)
+	if unread {
+		s.p.SetPolicy(Policy{Unread: true})
+	} else {
+		s.p.SetPolicy(s.policy)
+	}
 	s.planned, s.starts, s.requests = nil, nil, nil
 }
 
@@ -202,7 +207,9 @@
 	case "store":
 		return s.store()
 	case "takeover":
-		s.newOwner()
+		s.newOwner(len(f) > 1 && f[1] == "unread")
+	case "read-policy":
+		s.p.SetPolicy(s.policy)
 	case "allow":
 		return s.allow(f[1], f[2:])
 	default:
--- a/internal/node/gate/config.go
+++ b/internal/node/gate/config.go
@@ -70,7 +70,7 @@
 func (s *configState) policy() sched.Policy {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	v := sched.Policy{Queues: map[string]sched.Queue{}, Teams: map[string]sched.Limit{}, ClosedAzs: map[string]bool{}}
+	v := sched.Policy{Unread: s.config.Version == 0, Queues: map[string]sched.Queue{}, Teams: map[string]sched.Limit{}, ClosedAzs: map[string]bool{}}
 	for _, q := range s.config.Queues {
 		v.Queues[q.Name] = q
 	}
--- a/internal/node/gate/config_test.go
+++ b/internal/node/gate/config_test.go
@@ -55,6 +55,15 @@
 	assert.Equal(t, fetches.Load(), int32(1))
 }
 
+// TestPolicyUnreadAtFirst guards against an owner that starts tasks while its host knows
+// neither the limits of teams nor the closed zones.
+func TestPolicyUnreadAtFirst(t *testing.T) {
+	s := newConfigState()
+	assert.Assert(t, s.policy().Unread)
+	s.config.Version = 1
+	assert.Assert(t, !s.policy().Unread)
+}
+
 // TestReadTimeoutGrows guards against a read of the configuration that restarts with the
 // same timeout, which a slow link never meets.
 func TestReadTimeoutGrows(t *testing.T) {
