Scheduler: clearer names for the queues of accepted jobs

jobQueue.latest and jobQueue.stats instead of queue and key, QueueChange.NewName instead of Now, and a paragraph in the package comment. No change of behavior.

--- a/internal/cell/sched/advice.go
+++ b/internal/cell/sched/advice.go
@@ -245,7 +245,7 @@
 	if a := p.queue(si).Advice; a != nil && a.BaseMs >= costlyBaseMs {
 		return workers >= costlyMaxWorkers
 	}
-	return workers >= minRequestWorkers && p.expectedShare(si.job.queue.key)*float64(slots) >= requestMargin*float64(need)
+	return workers >= minRequestWorkers && p.expectedShare(si.job.queue.stats)*float64(slots) >= requestMargin*float64(need)
 }
 
 // pickUnknown returns as many workers as are likely needed for need tasks. A
@@ -253,7 +253,7 @@
 // nearly as much as the first.
 func (p *Planner) pickUnknown(si *stepInstance, need int, unknown []candidate) (ids []string) {
 	costly := p.queue(si).Advice.BaseMs >= costlyBaseMs
-	share := p.expectedShare(si.job.queue.key)
+	share := p.expectedShare(si.job.queue.stats)
 	expected := 0.0
 	for i, c := range unknown {
 		if costly && i == costlyMaxWorkers || !costly && i >= minRequestWorkers && expected >= requestMargin*float64(need) {
@@ -304,7 +304,7 @@
 		si.advice.answers[id] = adviceAnswer{allowed: allowed, ticket: t, untilMs: issuedMs + q.Advice.ValidMs, incarnation: worker.Incarnation}
 	}
 	si.advice.nextRequestMs, si.advice.failures = now.Ms, 0
-	p.recordShare(si.job.queue.key, float64(len(tickets))/float64(max(len(req.Workers), 1)))
+	p.recordShare(si.job.queue.stats, float64(len(tickets))/float64(max(len(req.Workers), 1)))
 }
 
 // recordShare adds a sample to the allowed share of a queue.
--- a/internal/cell/sched/batch.go
+++ b/internal/cell/sched/batch.go
@@ -15,7 +15,8 @@
 	endMarks map[string]endMark // by worker
 }
 
-// batchUnit is records of one job, or of one queue, in a batch, from index from to before index to.
+// batchUnit is records of one job, or of one queue, in a batch, from index from to before
+// index to.
 type batchUnit struct {
 	job      string
 	from, to int
@@ -213,7 +214,7 @@
 	jq := p.state.Jobs[s.ID].queue
 	var queue []byte
 	if jq.changed {
-		if queue, err = frame.Encode(jq.queue); err != nil {
+		if queue, err = frame.Encode(jq.latest); err != nil {
 			return false, err
 		}
 	}
--- a/internal/cell/sched/graph.go
+++ b/internal/cell/sched/graph.go
@@ -64,7 +64,7 @@
 	}
 	g.estimated, g.version, g.criticalPath = true, p.runsRecorded, 0
 	for i, s := range j.Spec.Steps {
-		g.runMs[i], g.endMs[i] = p.estimator.runMs(j.queue.key, s), 0
+		g.runMs[i], g.endMs[i] = p.estimator.runMs(j.queue.stats, s), 0
 		for _, d := range g.deps[i] {
 			g.endMs[i] = max(g.endMs[i], g.endMs[d])
 		}
--- a/internal/cell/sched/place.go
+++ b/internal/cell/sched/place.go
@@ -305,7 +305,7 @@
 	t.State, t.LastRun, t.Worker, t.Incarnation = Placed, run, w.ID, w.Incarnation
 	ref := si.ref(index)
 	alone := p.needsTrial(si, t) && !p.plannedCommon && w.quiet(si)
-	runMs := p.estimator.runMs(si.job.queue.key, si.spec())
+	runMs := p.estimator.runMs(si.job.queue.stats, si.spec())
 	p.lastSerial++
 	p.allocate(w, &allocation{
 		ref: ref, run: run, serial: p.lastSerial, size: si.spec().demand(), team: si.job.Spec.Team, phase: phaseIntent, phaseStartMs: now.Ms, runMs: runMs, endMs: now.Ms + runMs,
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -22,6 +22,9 @@
 // a takeover, the records would not name all runs, so the new owner could start
 // no waiting task until every worker has listed its runs or lost its lease.
 //
+// A job keeps its queue, in the latest version that the planner has seen, when the policy
+// renames or drops it; see queues.go.
+//
 // In queues with Queue.Advice set, each start needs a ticket. The advice service
 // decides which workers may run a step, and issues tickets for these workers.
 //
@@ -367,7 +370,7 @@
 		si.dueMs = spec.FirstMs + int64(si.occ)*spec.IntervalMs
 	}
 	si.policyVersion = p.policyVersion
-	q := &si.job.queue.queue
+	q := &si.job.queue.latest
 	criticalPath := p.estimatedGraph(si.job).criticalPath
 	si.deadlineMs = si.dueMs + int64(q.Slack*float64(criticalPath)) + q.TargetMs
 }
--- a/internal/cell/sched/queues.go
+++ b/internal/cell/sched/queues.go
@@ -36,11 +36,11 @@
 // jobQueue is a queue that has jobs.
 type jobQueue struct {
 	id      string
-	queue   Queue  // latest version; only its name is set if known is false
+	latest  Queue  // its latest version; only the name is set if known is false
 	known   bool   // false for a job of an earlier version until a policy has its queue
 	dropped bool   // the policy does not continue it
 	jobs    int    // jobs that belong to it, including ended ones that are retained
-	key     string // of its statistics
+	stats   string // key of its statistics
 	changed bool   // its record is missing or out of date
 	stored  bool   // it has a record
 }
@@ -95,29 +95,29 @@
 	return q.Name
 }
 
-// set replaces the version of the queue.
-func (jq *jobQueue) set(q Queue) {
+// update replaces the latest version of the queue.
+func (jq *jobQueue) update(q Queue) {
 	q = q.forJobs()
-	if jq.known && jq.queue.equal(q) {
+	if jq.known && jq.latest.equal(q) {
 		return
 	}
-	jq.queue, jq.known, jq.changed, jq.key = q, true, true, q.statsKey()
+	jq.latest, jq.known, jq.changed, jq.stats = q, true, true, q.statsKey()
 }
 
 // successor returns the queue of the policy that continues jq.
 func (p *Planner) successor(jq *jobQueue) (q Queue, ok bool) {
-	if q, ok = p.policy.Queues[jq.queue.Name]; ok && (!jq.known || q.sameAddress(jq.queue)) {
+	if q, ok = p.policy.Queues[jq.latest.Name]; ok && (!jq.known || q.sameAddress(jq.latest)) {
 		return q, true
 	}
-	if !jq.known || jq.queue.address() == "" {
+	if !jq.known || jq.latest.address() == "" {
 		return Queue{}, false
 	}
 	ok = false
 	for _, r := range p.policy.Queues {
-		if !r.sameAddress(jq.queue) || r.Service != jq.queue.Service && p.policy.hasService(jq.queue.Service) {
+		if !r.sameAddress(jq.latest) || r.Service != jq.latest.Service && p.policy.hasService(jq.latest.Service) {
 			continue
 		}
-		if !ok || r.Name < q.Name { // the policy is a map
+		if !ok || r.Name < q.Name { // the order of a map is random
 			q, ok = r, true
 		}
 	}
@@ -131,14 +131,14 @@
 func (p *Planner) follow(jq *jobQueue) {
 	q, ok := p.successor(jq)
 	if jq.dropped = !ok; ok {
-		jq.set(q)
+		jq.update(q)
 	}
 }
 
 // QueueChange says that the queue of accepted jobs has got another name or was dropped.
 type QueueChange struct {
 	Queue   string
-	Now     string // its new name; empty if it was dropped
+	NewName string // empty if it was dropped
 	Service string // that runs its jobs; empty if that is not known
 	Jobs    int    // its jobs, including ended ones that are retained
 }
@@ -152,16 +152,16 @@
 		return nil
 	}
 	for _, jq := range p.queues {
-		name, wasDropped := jq.queue.Name, jq.dropped
+		name, wasDropped := jq.latest.Name, jq.dropped
 		p.follow(jq)
 		p.queuesChanged = p.queuesChanged || jq.changed
-		c := QueueChange{Queue: name, Service: jq.queue.Service, Jobs: jq.jobs}
+		c := QueueChange{Queue: name, Service: jq.latest.Service, Jobs: jq.jobs}
 		switch {
 		case jq.jobs == 0:
 		case jq.dropped && !wasDropped:
 			changes = append(changes, c)
-		case !jq.dropped && jq.queue.Name != name:
-			c.Now = jq.queue.Name
+		case !jq.dropped && jq.latest.Name != name:
+			c.NewName = jq.latest.Name
 			changes = append(changes, c)
 		}
 	}
@@ -172,7 +172,7 @@
 func (p *Planner) readQueues(stored map[string]Queue) {
 	for id, q := range stored {
 		jq := &jobQueue{id: id, stored: true}
-		jq.set(q)
+		jq.update(q)
 		jq.changed = false
 		p.queues[id] = jq
 	}
@@ -183,11 +183,11 @@
 	id := j.Spec.queueID()
 	jq := p.queues[id]
 	if jq == nil {
-		jq = &jobQueue{id: id, queue: Queue{Name: j.Spec.Queue}, key: j.Spec.Queue}
+		jq = &jobQueue{id: id, latest: Queue{Name: j.Spec.Queue}, stats: j.Spec.Queue}
 		p.queues[id] = jq
 	}
 	if accepted := j.Spec.QueueConfig; accepted != nil && !jq.known {
-		jq.set(*accepted)
+		jq.update(*accepted)
 	}
 	j.Spec.QueueConfig = nil
 	if p.policyVersion > 0 && !p.policy.Unread {
@@ -204,7 +204,7 @@
 	if si.policyVersion != p.policyVersion {
 		p.setDeadline(si)
 	}
-	return &si.job.queue.queue
+	return &si.job.queue.latest
 }
 
 // addQueue adds the record of a queue.
@@ -220,7 +220,7 @@
 		if !jq.changed || jq.jobs == 0 {
 			continue
 		}
-		value, err := frame.Encode(jq.queue)
+		value, err := frame.Encode(jq.latest)
 		if err != nil {
 			return false, err
 		}
@@ -268,7 +268,7 @@
 	}
 	for id, jq := range p.queues {
 		if jq.jobs != jobs[jq] {
-			return merry.Errorf("queue %s (%s) has %d jobs, but %d are counted", id, jq.queue.Name, jobs[jq], jq.jobs)
+			return merry.Errorf("queue %s (%s) has %d jobs, but %d are counted", id, jq.latest.Name, jobs[jq], jq.jobs)
 		}
 	}
 	return nil
--- a/internal/cell/sched/report.go
+++ b/internal/cell/sched/report.go
@@ -482,8 +482,8 @@
 	}
 	if a != nil && a.run == f.Run && a.phase == phaseRunning && f.Reason == EndDone && j.task(ref) != nil {
 		p.runsRecorded++
-		p.recordInterference(w, a, j.queue.key, j.Spec.Steps[ref.Step], now)
-		p.estimator.recordRun(j.queue.key, w.ID, j.Spec.Steps[ref.Step], now.Ms-a.phaseStartMs)
+		p.recordInterference(w, a, j.queue.stats, j.Spec.Steps[ref.Step], now)
+		p.estimator.recordRun(j.queue.stats, w.ID, j.Spec.Steps[ref.Step], now.Ms-a.phaseStartMs)
 	}
 	t := j.task(ref)
 	if t == nil {
@@ -598,7 +598,7 @@
 // exhausted returns the limit of failed runs of a task of a step, and whether the given
 // number has reached it. There is none while no version of the queue is known.
 func (p *Planner) exhausted(j *Job, s Step, failures int) (limit int, ok bool) {
-	limit = j.queue.queue.MaxAttempts
+	limit = j.queue.latest.MaxAttempts
 	return limit, !s.LongRunning && limit > 0 && failures >= limit
 }
 
--- a/internal/cell/sched/reserve.go
+++ b/internal/cell/sched/reserve.go
@@ -76,7 +76,7 @@
 	p.retryLater(si, now)
 	ix := p.indexOf(p.queue(si).Service, plan, now)
 	onTime := p.rankStep(si, now).rank == rankOnTime
-	share := p.expectedShare(si.job.queue.key)
+	share := p.expectedShare(si.job.queue.stats)
 	allowed, unknown := p.freeNow(si, ix, need, now)
 	chosen, missing := takeFirst(allowed, need)
 	expected := share * float64(totalMembers(unknown))
--- a/internal/cell/sched/status.go
+++ b/internal/cell/sched/status.go
@@ -47,7 +47,7 @@
 func (p *Planner) Pending(q Queue) int {
 	at := map[*jobQueue]bool{}
 	for _, jq := range p.queues {
-		at[jq] = jq.queue.sameAddress(q)
+		at[jq] = jq.latest.sameAddress(q)
 	}
 	n := 0
 	for id, j := range p.state.Jobs {
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -295,8 +295,8 @@
 			o.log.Info("more queues of accepted jobs have changed", "queues", len(changes)-i)
 			return
 		}
-		if c.Now != "" {
-			o.log.Info("queue of accepted jobs has another name", "queue", c.Queue, "now", c.Now, "service", c.Service, "jobs", c.Jobs)
+		if c.NewName != "" {
+			o.log.Info("queue of accepted jobs has another name", "queue", c.Queue, "now", c.NewName, "service", c.Service, "jobs", c.Jobs)
 			continue
 		}
 		o.log.Info("queue of accepted jobs is not in the configuration", "queue", c.Queue, "service", c.Service, "jobs", c.Jobs)
