--- a/internal/cell/sched/queues_test.go
+++ b/internal/cell/sched/queues_test.go
@@ -55,7 +55,7 @@
 }
 
 // TestQueueIDs guards against queues that share their jobs: each of name, host and prefix
-// tells two queues apart.
+// distinguishes two queues.
 func TestQueueIDs(t *testing.T) {
 	q := Queue{Name: "q", Host: "h", Prefix: "/a/", Service: "s"}
 	for _, other := range []Queue{{Name: "r", Host: "h", Prefix: "/a/"}, {Name: "q", Host: "i", Prefix: "/a/"}, {Name: "q", Host: "h", Prefix: "/b/"}, {Name: "q"}} {
