--- a/internal/cell/sched/denial.go
+++ b/internal/cell/sched/denial.go
@@ -6,7 +6,10 @@
 // cancelled job without tasks, which earlier versions ignore. It is kept as long as an ended
 // job.
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // maxDenials is the number of denials that are kept. Beyond it, the oldest are dropped.
 const maxDenials = 10_000
@@ -16,7 +19,7 @@
 
 // Deny notes that a cancellation of a job that does not exist is about to be answered so.
 func (p *Planner) Deny(id string, now Instant) {
-	if p.state.Jobs[id] != nil || p.denied[id] {
+	if _, denied := p.denied[id]; denied || p.state.Jobs[id] != nil {
 		return
 	}
 	p.denied[id] = true
@@ -26,12 +29,19 @@
 
 // Denied reports whether the cancellation of a job was answered before the job was known. Such
 // a job is not accepted.
-func (p *Planner) Denied(id string) bool { return p.denied[id] }
+func (p *Planner) Denied(id string) bool {
+	if _, denied := p.denied[id]; denied {
+		return true
+	}
+	exact, denied := p.denied[strings.ToLower(id)]
+	return denied && !exact
+}
 
 // denialRefused drops a denial whose record the store has refused, if b holds one: a further
 // cancellation has to store it anew.
 func (p *Planner) denialRefused(b *Batch) {
-	if id := b.Job(); p.denied[id] && len(b.Values[0]) > 0 { // a denial that is over is deleted
+	id := b.Job()
+	if _, denied := p.denied[id]; denied && len(b.Values[0]) > 0 { // a denial that is over is deleted
 		delete(p.denied, id)
 		p.denials = slices.DeleteFunc(p.denials, func(e endedJob) bool { return e.id == id })
 	}
@@ -42,7 +52,7 @@
 func (p *Planner) addDenials(b *Batch, now Instant) (complete bool, err error) {
 	for ; len(p.newDenials) > 0; p.newDenials = p.newDenials[1:] {
 		id := p.newDenials[0]
-		key, value, err := ProgressRecord(id, Progress{Cancel: true, Verdict: Cancelled, EndMs: now.WallMs})
+		key, value, err := ProgressRecord(id, Progress{Cancel: true, Verdict: Cancelled, EndMs: now.WallMs, ExactID: true})
 		if err != nil {
 			return false, err
 		}
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -153,7 +153,7 @@
 	runsRecorded   int                     // by the estimator
 	buckets        map[string]*tokenBucket // by team
 	ended          []endedJob              // by time of their end
-	denied         map[string]bool         // jobs of denials, see denial.go
+	denied         map[string]bool         // jobs of denials, see denial.go; the value is Progress.ExactID
 	denials        []endedJob              // by time
 	newDenials     []string                // jobs of denials that are not in a batch yet
 	endings        []Ending                // since the last TakeEndings
@@ -209,7 +209,7 @@
 	}
 	for id, progress := range cfg.State.earlyProgress {
 		if progress.isDenial() {
-			p.denied[id] = true
+			p.denied[id] = progress.ExactID
 			p.denials = append(p.denials, endedJob{id, now.ofWall(progress.EndMs)})
 		}
 	}
@@ -522,7 +522,7 @@
 // Accept adds a job and reports whether it is new. A job whose ID is in use, or whose
 // cancellation was answered before, is ignored.
 func (p *Planner) Accept(spec Spec, now Instant) (added bool) {
-	if p.state.Jobs[spec.ID] != nil || p.denied[spec.ID] {
+	if p.state.Jobs[spec.ID] != nil || p.Denied(spec.ID) {
 		return false
 	}
 	spec.Excess = p.exceedsRate(spec.Team, now)
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"cmp"
+	"encoding/hex"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -31,12 +32,13 @@
 //	worker ID cpu=N [mem=N] [az=] [rack=] [label=] [incarnation=N] [draining=1] [leaves=MS] [unlisted=1] [service=NAME]
 //	job ID queue=NAME [path=PREFIX, if the policy does not have the queue] [team=] [steps=N] [count=N] [cpu=N] [mem=N] [ms=N] [gang=1]
 //	    [maxperworker=N] [label=LABEL] [datarack=RACK] [longrunning=1] [samerack=1]
-//	    [times=N first=MS every=MS]
+//	    [times=N first=MS every=MS] [payload=TEXT]
 //	cancel JOB
 //	deny JOB        a cancellation of a job that does not exist
 //	withdraw JOB
 //	takeover [unread]   with unread, the new owner knows no policy until read-policy
 //	read-policy
+//	record KEY HEX  a stored record, which the next owner reads
 //
 // Commands that advance time or the planner:
 //
@@ -211,6 +213,10 @@
 		s.newOwner(len(f) > 1 && f[1] == "unread")
 	case "read-policy":
 		s.p.SetPolicy(s.policy)
+	case "record":
+		value, err := hex.DecodeString(f[2])
+		assert.NilError(s.t, err)
+		s.records = append(s.records, [2]string{f[1], string(value)})
 	case "allow":
 		return s.allow(f[1], f[2:])
 	default:
@@ -252,7 +258,7 @@
 }
 
 func (s *script) job(id string, a map[string]string) {
-	spec := Spec{ID: id, Queue: a["queue"], Team: a["team"], AcceptedMs: s.now.WallMs}
+	spec := Spec{ID: id, ExactID: true, Queue: a["queue"], Team: a["team"], Payload: a["payload"], AcceptedMs: s.now.WallMs}
 	if q, ok := s.policy.Queues[a["queue"]]; ok {
 		spec.QueueID = q.ID()
 	} else if a["path"] != "" {
@@ -273,6 +279,7 @@
 	if a["times"] != "" {
 		spec.Occurrences, spec.FirstMs, spec.IntervalMs = int(num(a["times"])), s.now.WallMs+num(a["first"]), num(a["every"])
 	}
+	spec.ID = s.p.SubmittedID(spec)
 	s.p.Accept(spec, s.now)
 }
 
@@ -355,7 +362,7 @@
 	case "list":
 		s.list(f[1], f[2:])
 	case "cancel":
-		return fmt.Sprint(s.p.Cancel(f[1], s.now))
+		return fmt.Sprint(s.p.Cancel(s.p.KeptID(f[1]), s.now))
 	case "deny":
 		s.p.Deny(f[1], s.now)
 	case "withdraw":
@@ -398,7 +405,7 @@
 		}
 		return strings.Join(out, "; ")
 	case "status":
-		st, ok := s.p.Status(f[1])
+		st, ok := s.p.Status(s.p.KeptID(f[1]))
 		if !ok {
 			return "unknown"
 		}
--- a/internal/node/gate/api.go
+++ b/internal/node/gate/api.go
@@ -123,7 +123,7 @@
 		return c, fault.New(fault.Unauthenticated, fault.NotRun, "the key is not known")
 	}
 	c.Queue, c.QueueConfig = q.Name, q
-	c.ID = strings.ToLower(strings.TrimPrefix(r.URL.Path, q.Prefix))
+	c.ID = strings.TrimPrefix(r.URL.Path, q.Prefix)
 	if r.Method == http.MethodGet && c.ID == "" {
 		c.Kind = callPending
 		return c, nil
@@ -160,7 +160,7 @@
 		return c, err
 	}
 	c.Spec.Queue, c.Spec.QueueID = c.Queue, c.QueueConfig.ID()
-	c.Spec.Team, c.Spec.AcceptedMs = team, h.clock.Now().UnixMilli()
+	c.Spec.Team, c.Spec.AcceptedMs, c.Spec.ExactID = team, h.clock.Now().UnixMilli(), true
 	return c, nil
 }
 
--- a/internal/node/gate/cluster_test.go
+++ b/internal/node/gate/cluster_test.go
@@ -125,10 +125,8 @@
 		assert.NilError(t, err)
 		c.store.Put("workers", w.ID, data)
 	}
-	for i := range n {
-		c.ports = append(c.ports, freePort(t))
-		c.hosts = append(c.hosts, nil)
-		c.start(i)
+	for range n {
+		c.addHost()
 	}
 	t.Cleanup(func() {
 		for _, h := range c.hosts {
@@ -160,6 +158,13 @@
 	return ln.Addr().(*net.TCPAddr).Port
 }
 
+// addHost starts another host.
+func (c *cluster) addHost() {
+	c.ports = append(c.ports, freePort(c.t))
+	c.hosts = append(c.hosts, nil)
+	c.start(len(c.hosts) - 1)
+}
+
 // start starts or restarts host i.
 func (c *cluster) start(i int) { c.startWith(i, c.store.For(fmt.Sprint(i))) }
 
--- a/internal/node/gate/requests.go
+++ b/internal/node/gate/requests.go
@@ -34,7 +34,7 @@
 
 // jobInPath returns the job ID in the path of a request that may not have been parsed.
 func jobInPath(r *http.Request) string {
-	return truncate(strings.ToLower(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:]))
+	return truncate(r.URL.Path[strings.LastIndexByte(r.URL.Path, '/')+1:])
 }
 
 func truncate(s string) string { return s[:min(len(s), maxFieldBytes)] }
