Soak: IDs that differ only in the case of letters

Each two jobs in turn of a client or a series have the same digits, in small and in capital letters, and each job carries its ID as payload, so that clients, records, workers and takeovers of real processes are checked for jobs that are taken for one.

--- a/cmd/lagooncourse/soakclient_test.go
+++ b/cmd/lagooncourse/soakclient_test.go
@@ -88,7 +88,7 @@
 			return
 		default:
 		}
-		j := &soakJob{id: fmt.Sprintf("%08x%08x", n, i)}
+		j := &soakJob{id: soakID('a', n, i)}
 		long := rnd.Intn(4) == 0
 		kind := shortJob
 		if long {
@@ -126,9 +126,19 @@
 	longJob           // it is there to be cancelled
 )
 
+// soakID returns the ID of the ith job of a series. Each two in turn differ only in the case of
+// letters, of which first, a hexadecimal digit, is one.
+func soakID(first rune, series, i int) string {
+	id := fmt.Sprintf("%c%07x%08x", first, series, i/2)
+	if i%2 == 1 {
+		return strings.ToUpper(id)
+	}
+	return id
+}
+
 // submit hands in a random job.
 func (s *soak) submit(c *http.Client, j *soakJob, at *int, rnd *rand.Rand, kind jobKind) {
-	spec := sched.Spec{ID: j.id, Payload: "p"}
+	spec := sched.Spec{ID: j.id, Payload: j.id}
 	steps := 1 + rnd.Intn(2)
 	for i := range steps {
 		step := sched.Step{Count: 1 + rnd.Intn(3), Size: jobs.Size{CPU: int64(200 + rnd.Intn(1500)), Mem: 10}, EstimateMs: int64(50 + rnd.Intn(900)), Gang: rnd.Intn(5) == 0}
--- a/cmd/lagooncourse/soakseries_test.go
+++ b/cmd/lagooncourse/soakseries_test.go
@@ -122,7 +122,7 @@
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 	for n := 0; time.Now().Before(end); n++ {
 		for i := range 2 {
-			j := &soakJob{id: fmt.Sprintf("c%07x%08x", burst, 2*n+i)}
+			j := &soakJob{id: soakID('c', burst, 2*n+i)}
 			jobRand := rand.New(rand.NewSource(rnd.Int63()))
 			s.later(0, func() { s.submit(c, j, &i, jobRand, mediumJob) })
 		}
@@ -139,7 +139,7 @@
 	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
 	var wg sync.WaitGroup
 	for i := range 2 * len(s.hosts) {
-		j := &soakJob{id: fmt.Sprintf("f%07x%08x", s.bursts, i)}
+		j := &soakJob{id: soakID('f', s.bursts, i)}
 		list = append(list, j)
 		seed := s.rand.Int63()
 		wg.Add(1)
