Hosts convert job IDs as long as hosts of an earlier version do

Hosts are replaced one after another. While some of them still convert IDs to lower case, a client that writes capital letters would reach them and hosts of this version in turn: its job would be denied by the one or the other, or accepted twice.

--- a/internal/node/gate/api.go
+++ b/internal/node/gate/api.go
@@ -123,7 +123,7 @@
 		return c, fault.New(fault.Unauthenticated, fault.NotRun, "the key is not known")
 	}
 	c.Queue, c.QueueConfig = q.Name, q
-	c.ID = strings.TrimPrefix(r.URL.Path, q.Prefix)
+	c.ID = h.jobID(strings.TrimPrefix(r.URL.Path, q.Prefix))
 	if r.Method == http.MethodGet && c.ID == "" {
 		c.Kind = callPending
 		return c, nil
@@ -145,6 +145,25 @@
 	return c, nil
 }
 
+// jobID returns the ID of the job that a client calls id. While hosts of an earlier version are
+// there, which convert IDs to lower case, this host does so too: the same request may reach any
+// host, and any host may become the owner.
+func (h *Host) jobID(id string) string {
+	lower := strings.ToLower(id)
+	if lower == id {
+		return id
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := h.clock.Now()
+	for _, p := range h.peers {
+		if p.convertsIDs && now.Sub(p.lastContact) < silentPeerAge {
+			return lower
+		}
+	}
+	return id
+}
+
 // parseSubmission reads and decodes the body of a job submission.
 func (h *Host) parseSubmission(r *http.Request, c callMsg, team string) (callMsg, error) {
 	limit := h.config.limits().BodyBytes
@@ -160,7 +179,8 @@
 		return c, err
 	}
 	c.Spec.Queue, c.Spec.QueueID = c.Queue, c.QueueConfig.ID()
-	c.Spec.Team, c.Spec.AcceptedMs, c.Spec.ExactID = team, h.clock.Now().UnixMilli(), true
+	c.Spec.Team, c.Spec.AcceptedMs = team, h.clock.Now().UnixMilli()
+	c.Spec.ExactID = strings.HasSuffix(r.URL.Path, c.ID) // unless jobID has converted it
 	return c, nil
 }
 
--- a/internal/node/gate/jobid_test.go
+++ b/internal/node/gate/jobid_test.go
@@ -17,13 +17,18 @@
 	"lagooncourse/internal/cell/sched"
 )
 
+// twoSteps returns two steps, the second of which depends on the first.
+func twoSteps() []sched.Step {
+	first := sched.Step{Count: 1, Size: jobs.Size{CPU: 500}, EstimateMs: 1500}
+	second := first
+	second.DependsOn = []int{0}
+	return []sched.Step{first, second}
+}
+
 // handIn submits a job of two steps, with one task each, to host i and returns the HTTP
 // status.
 func (c *cluster) handIn(i int, id, payload string) int {
-	step := sched.Step{Count: 1, Size: jobs.Size{CPU: 500}, EstimateMs: 1500}
-	next := step
-	next.DependsOn = []int{0}
-	spec := sched.Spec{ID: id, Payload: payload, Steps: []sched.Step{step, next}}
+	spec := sched.Spec{ID: id, Payload: payload, Steps: twoSteps()}
 	c.fleet.RegisterJob(spec)
 	body, err := json.Marshal(spec)
 	assert.NilError(c.t, err)
@@ -84,6 +89,37 @@
 	assert.DeepEqual(t, slices.Sorted(maps.Keys(logged)), slices.Sorted(slices.Values(append(all, unknown))))
 }
 
+// TestJobIDsBesideEarlierHosts guards against a job that is accepted twice or denied while hosts
+// of an earlier version, which convert IDs to lower case, serve beside those of this version.
+func TestJobIDsBesideEarlierHosts(t *testing.T) {
+	c := newCluster(t, 1)
+	c.awaitReady()
+	earlier := ping{Addr: "127.0.0.1:1"}
+	c.hosts[0].processPing(earlier)
+	const sent, stored = "5C0E7A21", "5c0e7a21"
+	c.fleet.RegisterJob(sched.Spec{ID: stored, Payload: "p", Steps: twoSteps()})
+	for range 2 {
+		assert.Equal(t, c.handIn(0, sent, "p"), 200)
+	}
+	var keys []string
+	for _, r := range c.store.Newest("jobs") {
+		if strings.HasPrefix(r.Key, "j") {
+			keys = append(keys, r.Key)
+		}
+	}
+	assert.DeepEqual(t, keys, []string{"j" + stored})
+
+	upgraded := earlier
+	upgraded.ExactIDs = true
+	c.hosts[0].processPing(upgraded)
+	assert.Equal(t, c.handIn(0, sent, "p"), 200)
+	assert.Equal(t, c.handIn(0, "5C0E7a21", "of another client"), 200)
+	c.awaitState(0, "5C0E7a21", "completed", 10*time.Second)
+	c.awaitState(0, sent, "completed", 10*time.Second)
+	assert.Equal(t, c.fleet.Starts(), 4)
+	c.checkInvariants()
+}
+
 // earlierJob is the record of a job as handIn submits it, with the ID 5c0e7a21 and the payload
 // "earlier", in the form of the version before sched.Spec.ExactID, which converted IDs to lower
 // case.
@@ -101,11 +137,7 @@
 		value, err := hex.DecodeString(earlierJob)
 		assert.NilError(t, err)
 		c.store.Put("jobs", "j"+stored, value)
-		spec := sched.Spec{ID: stored, Payload: "earlier", Steps: make([]sched.Step, 2)}
-		for i := range spec.Steps {
-			spec.Steps[i] = sched.Step{Count: 1, Size: jobs.Size{CPU: 500}, EstimateMs: 1500}
-		}
-		c.fleet.RegisterJob(spec)
+		c.fleet.RegisterJob(sched.Spec{ID: stored, Payload: "earlier", Steps: twoSteps()})
 		for range 3 {
 			c.addHost()
 		}
--- a/internal/node/gate/membership.go
+++ b/internal/node/gate/membership.go
@@ -190,6 +190,7 @@
 	p := ping{
 		Addr: h.addr, Az: h.cfg.Az, Leaving: h.leaving, Epoch: h.owner.epoch, Owner: h.owner.addr,
 		OwnerAgeMs: h.clock.Now().Sub(h.owner.lastContact).Milliseconds(), ConfigNext: configNext, StoreOK: storeOK, CPUMillis: h.cfg.CPUMillis,
+		ExactIDs: true,
 	}
 	if h.localOwner != nil {
 		p.OwnerAgeMs = h.localOwner.Stalled().Milliseconds()
@@ -233,6 +234,7 @@
 	}
 	p.cpuMillis, p.lastContact, p.leaving, p.ownerAddr, p.storeOK = msg.CPUMillis, now, msg.Leaving, msg.Owner, msg.StoreOK
 	p.ownerAge = time.Duration(msg.OwnerAgeMs) * time.Millisecond
+	p.convertsIDs = !msg.ExactIDs
 	if msg.Epoch > h.owner.epoch && msg.Owner != "" {
 		h.setOwner(msg.Epoch, msg.Owner, now.Add(-p.ownerAge))
 	}
--- a/internal/node/gate/peers.go
+++ b/internal/node/gate/peers.go
@@ -15,6 +15,7 @@
 	ownerAddr   string        // owner according to its last ping
 	ownerAge    time.Duration // time since its last contact with the owner, as of its last ping
 	storeOK     bool
+	convertsIDs bool // a host of an earlier version that converts job IDs to lower case
 }
 
 // ownerInfo is the current owner of the jobs as seen by this host.
--- a/internal/node/gate/wire.go
+++ b/internal/node/gate/wire.go
@@ -29,6 +29,7 @@
 	StoreOK    bool   // the sender's last direct store call got a definitive answer
 	Claim      bool   // asks the receiver to claim ownership immediately
 	CPUMillis  int64  // CPU limit of the sender in millicores
+	ExactIDs   bool   // the sender keeps the spelling of job IDs; hosts of earlier versions convert them to lower case
 }
 
 // callKind is the operation of a forwarded call.
