Scheduler: plainer names and comments for converted IDs

Denials keep a value with a named field instead of a bool whose meaning was in a comment. The comments say that hosts beside an earlier version still convert. No change in behaviour: the 4 tests and scripts of job IDs hold as before.

--- a/internal/cell/sched/denial.go
+++ b/internal/cell/sched/denial.go
@@ -14,6 +14,11 @@
 // maxDenials is the number of denials that are kept. Beyond it, the oldest are dropped.
 const maxDenials = 10_000
 
+// denial is what is kept of a denial beside its job and its time.
+type denial struct {
+	exactID bool // see Progress.ExactID
+}
+
 // isDenial reports whether p, of which no spec record is known, is the record of a denial.
 func (p Progress) isDenial() bool { return p.Verdict == Cancelled && len(p.Tasks) == 0 }
 
@@ -22,7 +27,7 @@
 	if _, denied := p.denied[id]; denied || p.state.Jobs[id] != nil {
 		return
 	}
-	p.denied[id] = true
+	p.denied[id] = denial{exactID: true}
 	p.denials = append(p.denials, endedJob{id, now.Ms})
 	p.newDenials = append(p.newDenials, id)
 }
@@ -33,8 +38,8 @@
 	if _, denied := p.denied[id]; denied {
 		return true
 	}
-	exact, denied := p.denied[strings.ToLower(id)]
-	return denied && !exact
+	d, denied := p.denied[strings.ToLower(id)]
+	return denied && !d.exactID
 }
 
 // denialRefused drops a denial whose record the store has refused, if b holds one: a further
--- a/internal/cell/sched/jobid.go
+++ b/internal/cell/sched/jobid.go
@@ -1,10 +1,10 @@
 package sched
 
-// IDs of jobs. Clients choose them, and IDs that differ in the case of a letter belong to
-// different jobs. Versions before Spec.ExactID stored an ID in lower case, whatever its client
-// had sent, so the client may know such a job by another spelling. A converted ID stands for
-// all its spellings until its records are deleted, unless there is a job with exactly the ID
-// that a request names. A new job is never stored so: one of two jobs would be lost.
+// IDs of jobs. Clients choose them, and IDs that differ only in the case of letters belong to
+// different jobs. Versions before Spec.ExactID converted IDs to lower case, and hosts still do
+// beside such a version, so the client may know a job by another spelling. A converted ID stands
+// for all its spellings, unless there is a job with exactly the ID that a request names, until
+// the records of the job are deleted.
 
 import (
 	"reflect"
@@ -12,7 +12,8 @@
 	"strings"
 )
 
-// KeptID returns the ID of the job that a client calls id, or id if there is none.
+// KeptID returns the ID under which the job that a client calls id is kept, or id if there is
+// no such job.
 func (p *Planner) KeptID(id string) string {
 	if j := p.convertedJob(id); j != nil {
 		return j.Spec.ID
@@ -20,9 +21,9 @@
 	return id
 }
 
-// SubmittedID returns the ID of the job that a submission repeats, or that of the submission
-// if the job is new. The submission repeats a job with a converted ID only if they have the
-// same content: another client may use the same digits in another case.
+// SubmittedID returns the ID under which the job of a submission is kept, or its own if the job
+// is new. It repeats a job with a converted ID only if they have the same content: another client
+// may use the same digits in another case.
 func (p *Planner) SubmittedID(s Spec) string {
 	if j := p.convertedJob(s.ID); j != nil && sameContent(j.Spec, s) {
 		return j.Spec.ID
--- a/internal/cell/sched/planner.go
+++ b/internal/cell/sched/planner.go
@@ -153,7 +153,7 @@
 	runsRecorded   int                     // by the estimator
 	buckets        map[string]*tokenBucket // by team
 	ended          []endedJob              // by time of their end
-	denied         map[string]bool         // jobs of denials, see denial.go; the value is Progress.ExactID
+	denied         map[string]denial       // by job, see denial.go
 	denials        []endedJob              // by time
 	newDenials     []string                // jobs of denials that are not in a batch yet
 	endings        []Ending                // since the last TakeEndings
@@ -185,7 +185,7 @@
 		steps: map[stepKey]*stepInstance{}, waiting: map[stepKey]*stepInstance{}, dirty: map[string]bool{},
 		storedVerdicts: map[string]Verdict{}, storedJobs: map[string]bool{}, trust: trust.New(trust.Config{MaxQuarantineMs: maxQuarantineMs}), allowedShares: map[string]*allowedShare{},
 		estimator: newEstimator(), buckets: map[string]*tokenBucket{}, verdicts: map[Ref]pendingVerdict{}, setAside: map[string]bool{},
-		queues: map[string]*jobQueue{}, cancels: map[string]*followedCancel{}, denied: map[string]bool{}, interference: newInterference(cfg.Interference), indexes: map[string]*index{},
+		queues: map[string]*jobQueue{}, cancels: map[string]*followedCancel{}, denied: map[string]denial{}, interference: newInterference(cfg.Interference), indexes: map[string]*index{},
 	}
 	p.readQueues(cfg.State.queues)
 	for id, j := range cfg.State.Jobs {
@@ -209,7 +209,7 @@
 	}
 	for id, progress := range cfg.State.earlyProgress {
 		if progress.isDenial() {
-			p.denied[id] = progress.ExactID
+			p.denied[id] = denial{exactID: progress.ExactID}
 			p.denials = append(p.denials, endedJob{id, now.ofWall(progress.EndMs)})
 		}
 	}
--- a/internal/cell/sched/types.go
+++ b/internal/cell/sched/types.go
@@ -42,7 +42,7 @@
 	QueueID     string // of the queue; empty in records of earlier versions
 	QueueConfig *Queue `msgpack:"-"` // the queue as the accepting host knows it, nil if it gives none; not stored
 
-	ExactID bool // the ID is as the client sent it; false in records of earlier versions, see jobid.go
+	ExactID bool // the ID is spelled as the client has sent it; see jobid.go
 }
 
 // TaskState is the stored state of a task.
@@ -100,7 +100,7 @@
 	EndMs        int64 // when the verdict was reached, in ms since 1970
 	Tasks        []Task
 	RunConfirmed bool // a worker has confirmed a run
-	ExactID      bool // of a denial: the ID is as the client sent it; see jobid.go
+	ExactID      bool // of a denial: the ID is spelled as the client has sent it; see jobid.go
 }
 
 // Claim is the record by which a host becomes the owner of the job topic.
--- a/internal/node/gate/api.go
+++ b/internal/node/gate/api.go
@@ -145,9 +145,9 @@
 	return c, nil
 }
 
-// jobID returns the ID of the job that a client calls id. While hosts of an earlier version are
-// there, which convert IDs to lower case, this host does so too: the same request may reach any
-// host, and any host may become the owner.
+// jobID returns the ID to use for the job that a client calls id. While there are hosts of an
+// earlier version, which convert IDs to lower case, this host does so too: requests for one job
+// may reach any host, and any host may become the owner.
 func (h *Host) jobID(id string) string {
 	lower := strings.ToLower(id)
 	if lower == id {
