--- a/internal/cell/sched/jobid.go
+++ b/internal/cell/sched/jobid.go
@@ -12,19 +12,18 @@
 	"strings"
 )
 
-// KeptID returns the ID under which the job that a client calls id is kept, or id if there is
-// no such job.
-func (p *Planner) KeptID(id string) string {
+// ResolveID returns the ID of the job that a client calls id, or id if there is no such job.
+func (p *Planner) ResolveID(id string) string {
 	if j := p.convertedJob(id); j != nil {
 		return j.Spec.ID
 	}
 	return id
 }
 
-// SubmittedID returns the ID under which the job of a submission is kept, or its own if the job
-// is new. It repeats a job with a converted ID only if they have the same content: another client
-// may use the same digits in another case.
-func (p *Planner) SubmittedID(s Spec) string {
+// ResolveSubmission returns the ID of the job that a submission repeats, or its own if the job is
+// new. It repeats a job with a converted ID only if both have the same content: another client may
+// use the same digits in another case.
+func (p *Planner) ResolveSubmission(s Spec) string {
 	if j := p.convertedJob(s.ID); j != nil && sameContent(j.Spec, s) {
 		return j.Spec.ID
 	}
@@ -43,8 +42,7 @@
 	return nil
 }
 
-// sameContent reports whether two specs have the same content but for what the accepting
-// host has added.
+// sameContent reports whether two specs are the same but for what the accepting host has added.
 func sameContent(a, b Spec) bool {
 	return a.Payload == b.Payload && a.FirstMs == b.FirstMs && a.IntervalMs == b.IntervalMs && a.Occurrences == b.Occurrences &&
 		slices.EqualFunc(a.Steps, b.Steps, sameStep)
--- a/internal/cell/sched/rules_test.go
+++ b/internal/cell/sched/rules_test.go
@@ -279,7 +279,7 @@
 	if a["times"] != "" {
 		spec.Occurrences, spec.FirstMs, spec.IntervalMs = int(num(a["times"])), s.now.WallMs+num(a["first"]), num(a["every"])
 	}
-	spec.ID = s.p.SubmittedID(spec)
+	spec.ID = s.p.ResolveSubmission(spec)
 	s.p.Accept(spec, s.now)
 }
 
@@ -362,7 +362,7 @@
 	case "list":
 		s.list(f[1], f[2:])
 	case "cancel":
-		return fmt.Sprint(s.p.Cancel(s.p.KeptID(f[1]), s.now))
+		return fmt.Sprint(s.p.Cancel(s.p.ResolveID(f[1]), s.now))
 	case "deny":
 		s.p.Deny(f[1], s.now)
 	case "withdraw":
@@ -405,7 +405,7 @@
 		}
 		return strings.Join(out, "; ")
 	case "status":
-		st, ok := s.p.Status(s.p.KeptID(f[1]))
+		st, ok := s.p.Status(s.p.ResolveID(f[1]))
 		if !ok {
 			return "unknown"
 		}
--- a/internal/node/lead/answer.go
+++ b/internal/node/lead/answer.go
@@ -192,7 +192,7 @@
 func (o *Owner) lookUp(id string) (sched.Status, answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s, known := o.planner.Status(o.planner.KeptID(id))
+	s, known := o.planner.Status(o.planner.ResolveID(id))
 	switch {
 	case !known:
 		return "", answerDenial
--- a/internal/node/lead/owner.go
+++ b/internal/node/lead/owner.go
@@ -333,7 +333,7 @@
 // enqueue queues a submission and plans its job. If it does not, the result is err: nil if
 // the job is known. The caller holds o.mu.
 func (o *Owner) enqueue(s *submission) (queued bool, err error) {
-	s.spec.ID = o.planner.SubmittedID(s.spec)
+	s.spec.ID = o.planner.ResolveSubmission(s.spec)
 	if _, known := o.planner.Status(s.spec.ID); known {
 		return false, nil
 	}
@@ -454,6 +454,6 @@
 func (o *Owner) exists(id string) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	_, ok := o.planner.Job(o.planner.KeptID(id))
+	_, ok := o.planner.Job(o.planner.ResolveID(id))
 	return ok
 }
--- a/internal/node/lead/store.go
+++ b/internal/node/lead/store.go
@@ -172,7 +172,7 @@
 	o.submissions, o.cancellations, o.storing, o.cycle = nil, nil, w.submissions, w
 	confirm := o.takeConfirmations()
 	for _, c := range w.cancellations {
-		c.id = o.planner.KeptID(c.id)
+		c.id = o.planner.ResolveID(c.id)
 		w.jobMissing[c] = !o.planner.Cancel(c.id, now)
 		if w.jobMissing[c] {
 			o.planner.Deny(c.id, now)
