Tests: TestSignalsFromTheStart takes its pipe away before it writes the settings

Cause: the test wrote the settings into the pipe, closed it, and only then replaced it by a file. The daemon, as soon as it has the settings, handles the SIGHUP and opens the path again; if that comes before the replacement, it opens the pipe, to which nobody writes any more.

Change: the file takes the pipe's place before the settings are written into the pipe, which the daemon has open. The signal still arrives while the daemon reads its settings, and all checks are as they were.

--- a/internal/tool/cmds/signal_test.go
+++ b/internal/tool/cmds/signal_test.go
@@ -75,11 +75,13 @@
 	assert.NilError(t, err)
 	assert.NilError(t, cmd.Process.Signal(syscall.SIGHUP))
 	time.Sleep(100 * time.Millisecond) // for the signal to be delivered before the settings are
+	// The daemon has the pipe open. The SIGHUP makes it open the path again as soon as it has
+	// the settings, which must not find the pipe: nobody would write to it.
+	assert.NilError(t, os.Remove(path))
+	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	_, err = w.WriteString(settings)
 	assert.Check(t, err)
 	assert.NilError(t, w.Close())
-	assert.NilError(t, os.Remove(path))
-	assert.NilError(t, os.WriteFile(path, []byte(settings), 0o600))
 	polls.Until(t, 10*time.Second, "the daemon has started", func() bool { return strings.Contains(readOut(), `"msg":"started"`) })
 	assert.NilError(t, cmd.Process.Signal(syscall.SIGTERM))
 	for range 20 {
